--- /dev/null
+++ b/Pimentopoint/src/Caller/FrontEngine.cpp
@@ -0,0 +1,482 @@
+#include "FrontEngine.h"
+
+#include "../Core/Log.h"
+#include "../Core/util/Constants.h"
+#include "../Peer/Frame.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace pimentopoint {
+
+namespace {
+
+    /// Bits of an attempt number or frame tag below the number of its query.
+    constexpr unsigned attemptBits = 16;
+    constexpr std::uint64_t attemptMask = (std::uint64_t(1) << attemptBits) - 1;
+    /// Marks the frame tags of requests passed on.
+    constexpr std::uint64_t callTag = std::uint64_t(1) << 63;
+    constexpr Duration ticketLifetime = std::chrono::minutes(2);
+    constexpr std::size_t ticketCapacity = 200000;
+    /// Deadline of a request whose search front this process does not know.
+    constexpr Duration unknownFrontDeadline = std::chrono::seconds(1);
+    /// Requests that explain() remembers.
+    constexpr std::size_t explanationCapacity = 2048;
+
+    bool callersFault(NotRunReason reason)
+    {
+        return reason == NotRunReason::BadRequest || reason == NotRunReason::NoSuchSearchFront || reason == NotRunReason::NoTicket
+            || reason == NotRunReason::TicketMismatch;
+    }
+
+} // namespace
+
+FrontEngine::FrontEngine(MemberName self, Incarnation incarnation, const Clock& clock, Metrics& metrics, Router& router,
+    std::function<DocumentStore::InForce()> documents, Hooks hooks)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_clock(clock)
+    , m_metrics(metrics)
+    , m_router(router)
+    , m_documents(std::move(documents))
+    , m_hooks(std::move(hooks))
+    , m_ledger(ticketLifetime, ticketCapacity)
+{
+}
+
+void FrontEngine::tick()
+{
+    {
+        std::lock_guard lock(m_pauseMutex);
+        if (!m_pauses.tick(m_clock.now()))
+            return;
+    }
+    if (m_closedReason != NotRunReason::Stopping)
+        setServing(false, NotRunReason::Stale);
+    m_hooks.paused();
+}
+
+void FrontEngine::setServing(bool serving, NotRunReason reason)
+{
+    if (!serving)
+        m_closedReason = reason;
+    m_serving = serving;
+}
+
+FrontEngine::FrontState& FrontEngine::frontState(const SearchFrontName& name)
+{
+    std::lock_guard lock(m_frontsMutex);
+    auto& state = m_fronts[name];
+    if (!state)
+        state = std::make_unique<FrontState>();
+    return *state;
+}
+
+std::optional<std::string> FrontEngine::issueTicket()
+{
+    tick();
+    if (!m_serving)
+        return std::nullopt;
+    auto number = m_ledger.issue(m_clock.now());
+    if (!number)
+        return std::nullopt;
+    return Ticket(m_self, m_incarnation, *number).text();
+}
+
+Instant FrontEngine::deadlineOf(const SearchRequest& request, Instant now) const
+{
+    ConfigurationPointer configuration = m_documents().configuration;
+    const SearchFront* front = configuration ? configuration->searchFront(request.searchFront) : nullptr;
+    Duration longest = front ? front->deadline() : unknownFrontDeadline;
+    return now + std::min(request.deadline.value_or(longest), longest);
+}
+
+RenderedAnswer FrontEngine::ask(const SearchRequest& request)
+{
+    tick();
+    Instant start = m_clock.now();
+    Instant deadline = deadlineOf(request, start);
+    if (!request.ticket.empty()) {
+        auto ticket = Ticket::parse(request.ticket);
+        if (!ticket)
+            return render(Answer::refused(NotRunReason::NoTicket, "the ticket is malformed"), request.id);
+        if (ticket->member() == m_self && ticket->incarnation() == m_incarnation)
+            return runOwnTicket(*ticket, request, deadline);
+        auto issuer = m_hooks.issuer(*ticket);
+        if (!issuer)
+            return render(Answer::unknownOutcome(UnknownReason::IncarnationGone), request.id);
+        return passOn(*ticket, request, *issuer, deadline);
+    }
+    std::uint64_t query = ++m_lastQuery;
+    if (!m_serving)
+        return finish(request, Answer::refused(m_closedReason), start, query);
+    ConfigurationPointer configuration = m_documents().configuration;
+    const SearchFront* front = configuration->searchFront(request.searchFront);
+    if (!front)
+        return finish(request, Answer::refused(NotRunReason::NoSuchSearchFront), start, query);
+    if (!front->repeatable())
+        return finish(request, Answer::refused(NotRunReason::NoTicket, "take a ticket first"), start, query);
+    return finish(request, runQuery(request, start, deadline), start, query);
+}
+
+RenderedAnswer FrontEngine::runOwnTicket(const Ticket& ticket, const SearchRequest& request, Instant deadline)
+{
+    Instant start = m_clock.now();
+    bool mayRun = m_serving;
+    TicketLedger::ClaimResult claimed = m_ledger.claim(ticket.number(), request.digest(), mayRun, start);
+    switch (claimed.claim) {
+    case TicketLedger::Claim::Granted:
+        break;
+    case TicketLedger::Claim::Running:
+        return awaitOwnTicket(ticket, request, deadline);
+    case TicketLedger::Claim::Done:
+        return claimed.answer;
+    case TicketLedger::Claim::Mismatch:
+        return render(Answer::refused(NotRunReason::TicketMismatch), request.id);
+    case TicketLedger::Claim::NotIssued:
+        return render(Answer::refused(NotRunReason::NoTicket, "the ticket was never issued"), request.id);
+    case TicketLedger::Claim::Forgotten:
+        return render(Answer::unknownOutcome(UnknownReason::TicketExpired), request.id);
+    }
+    if (!mayRun)
+        return render(Answer::refused(m_closedReason), request.id);
+    RenderedAnswer rendered = render(Answer::unknownOutcome(UnknownReason::ConnectionLost), request.id);
+    try {
+        bool known = m_documents().configuration->searchFront(request.searchFront);
+        Answer answer = known ? runQuery(request, start, deadline) : Answer::refused(NotRunReason::NoSuchSearchFront);
+        rendered = finish(request, answer, start, ++m_lastQuery);
+    } catch (const std::exception& failure) {
+        Log::event(Severity::Error, "request-failed", { { "request", request.id }, { "cause", failure.what() } });
+    }
+    m_ledger.finish(ticket.number(), rendered);
+    {
+        std::lock_guard lock(m_ticketMutex);
+        m_ticketDone.notify_all();
+    }
+    return rendered;
+}
+
+RenderedAnswer FrontEngine::awaitOwnTicket(const Ticket& ticket, const SearchRequest& request, Instant deadline)
+{
+    std::unique_lock lock(m_ticketMutex);
+    while (m_clock.now() < deadline) {
+        auto state = m_ledger.claim(ticket.number(), request.digest(), false, m_clock.now());
+        if (state.claim == TicketLedger::Claim::Done)
+            return state.answer;
+        m_ticketDone.wait_for(lock, deadline - m_clock.now());
+    }
+    return render(Answer::unknownOutcome(UnknownReason::Deadline), request.id);
+}
+
+RenderedAnswer FrontEngine::passOn(const Ticket& ticket, const SearchRequest& request, const Endpoint& issuer, Instant deadline)
+{
+    auto call = std::make_shared<Call>();
+    std::uint64_t number = 0;
+    ConnectionId connection = m_hooks.connection(issuer);
+    {
+        std::lock_guard lock(m_callsMutex);
+        number = ++m_lastCall;
+        call->connection = connection;
+        m_calls.emplace(number, call);
+    }
+    Duration remaining = deadline - m_clock.now();
+    TicketedRequest message { number, ticket.text(), request.searchFront, request.text, static_cast<std::uint64_t>(std::max(remaining, Duration(0)).count()) };
+    m_hooks.send(issuer, encodeFrame(message), FrameTag(callTag | number));
+    std::unique_lock lock(call->mutex);
+    call->changed.wait_for(lock, remaining, [&] { return call->answer || call->lost; });
+    RenderedAnswer answer = call->answer ? *call->answer
+                                         : render(Answer::unknownOutcome(call->lost ? UnknownReason::ConnectionLost : UnknownReason::Deadline), request.id);
+    lock.unlock();
+    std::lock_guard callsLock(m_callsMutex);
+    m_calls.erase(number);
+    return answer;
+}
+
+void FrontEngine::received(const TicketedReply& reply)
+{
+    CallPointer call;
+    {
+        std::lock_guard lock(m_callsMutex);
+        auto found = m_calls.find(reply.call);
+        if (found == m_calls.end())
+            return;
+        call = found->second;
+    }
+    std::lock_guard lock(call->mutex);
+    call->answer = RenderedAnswer { reply.status, reply.body };
+    call->changed.notify_all();
+}
+
+TicketedReply FrontEngine::runTicketed(const TicketedRequest& message)
+{
+    tick();
+    SearchRequest request;
+    request.searchFront = message.searchFront;
+    request.text = message.text;
+    Instant deadline = m_clock.now() + std::min(Duration(static_cast<Duration::rep>(message.remaining)), maxDeadline);
+    auto ticket = Ticket::parse(message.ticket);
+    RenderedAnswer answer;
+    if (ticket && ticket->member() == m_self && ticket->incarnation() == m_incarnation)
+        answer = runOwnTicket(*ticket, request, deadline);
+    else
+        answer = render(Answer::unknownOutcome(UnknownReason::IncarnationGone), "");
+    return { message.call, answer.status, answer.body };
+}
+
+Answer FrontEngine::runQuery(const SearchRequest& request, Instant start, Instant deadline)
+{
+    DocumentStore::InForce documents = m_documents();
+    FrontState& state = frontState(request.searchFront);
+    auto pinned = [this] {
+        DocumentStore::InForce current = m_documents();
+        return PinnedDocuments { current.configuration, current.hosts };
+    };
+    std::uint64_t query = ++m_lastQuery;
+    auto run = std::make_shared<Run>();
+    run->text = request.text;
+    run->query = std::make_unique<QueryRun>(QueryEnvironment { m_router, state.budget, state.latencies, pinned },
+        PinnedDocuments { documents.configuration, documents.hosts }, request.searchFront, query << attemptBits, start, deadline);
+    {
+        Part& shard = part(query);
+        std::lock_guard lock(shard.mutex);
+        shard.runs.emplace(query, run);
+    }
+    RunActions actions;
+    {
+        std::lock_guard lock(run->mutex);
+        actions = run->query->begin(m_clock.now());
+    }
+    perform(run, query, actions);
+    Answer answer = waitFor(run, query);
+    Part& shard = part(query);
+    std::lock_guard lock(shard.mutex);
+    shard.runs.erase(query);
+    return answer;
+}
+
+Answer FrontEngine::waitFor(const RunPointer& run, std::uint64_t query)
+{
+    std::unique_lock lock(run->mutex);
+    while (!run->query->finished()) {
+        Instant wake = run->query->nextWake();
+        Instant now = m_clock.now();
+        if (now < wake) {
+            run->changed.wait_for(lock, wake - now);
+            continue;
+        }
+        RunActions actions = run->query->timer(now);
+        lock.unlock();
+        perform(run, query, actions);
+        lock.lock();
+    }
+    return run->query->answer();
+}
+
+FrontEngine::RunPointer FrontEngine::findRun(std::uint64_t query)
+{
+    Part& shard = part(query);
+    std::lock_guard lock(shard.mutex);
+    auto found = shard.runs.find(query);
+    return found == shard.runs.end() ? nullptr : found->second;
+}
+
+void FrontEngine::perform(const RunPointer& run, std::uint64_t query, const RunActions& actions)
+{
+    sendBatches(run, query, actions);
+    sendCancels(actions);
+    if (actions.finished) {
+        std::lock_guard lock(run->mutex);
+        run->changed.notify_all();
+    }
+}
+
+void FrontEngine::sendBatches(const RunPointer& run, std::uint64_t query, const RunActions& actions)
+{
+    std::map<Endpoint, SearchBatch> batches;
+    for (const RunActions::Send& send : actions.sends)
+        batches[send.route.endpoint].parts.push_back(send.sub);
+    for (auto& [endpoint, batch] : batches) {
+        std::vector<std::uint64_t> attempts;
+        for (const SubQuery& sub : batch.parts)
+            attempts.push_back(sub.attempt);
+        std::uint64_t tag = query << attemptBits | (++m_lastBatch & attemptMask);
+        ConnectionId connection = m_hooks.connection(endpoint);
+        {
+            std::lock_guard lock(run->mutex);
+            run->query->bind(attempts, tag, connection.value());
+            const SearchFront& front = run->query->searchFront();
+            Duration remaining = std::max(run->query->replyDeadline() - m_clock.now(), Duration(0));
+            batch.sender = m_incarnation;
+            batch.remaining = static_cast<std::uint64_t>(remaining.count());
+            batch.urgency = front.urgency();
+            batch.repeatable = front.repeatable();
+            batch.snapshot = run->query->snapshot();
+            batch.text = run->text;
+        }
+        batch.versions = m_documents().versions;
+        m_hooks.send(endpoint, encodeFrame(batch), FrameTag(tag));
+    }
+}
+
+void FrontEngine::sendCancels(const RunActions& actions)
+{
+    std::map<Endpoint, CancelBatch> batches;
+    for (const RunActions::Cancel& cancel : actions.cancels)
+        batches[cancel.endpoint].attempts.push_back(cancel.attempt);
+    for (auto& [endpoint, batch] : batches) {
+        batch.sender = m_incarnation;
+        m_hooks.send(endpoint, encodeFrame(batch), FrameTag(0));
+    }
+}
+
+void FrontEngine::received(const ReplyBatch& batch)
+{
+    if (batch.sender != m_incarnation)
+        return;
+    for (const SubReply& reply : batch.replies) {
+        std::uint64_t query = reply.attempt >> attemptBits;
+        RunPointer run = findRun(query);
+        if (!run)
+            continue;
+        RunActions actions;
+        {
+            std::lock_guard lock(run->mutex);
+            actions = run->query->replied(reply, m_clock.now());
+        }
+        perform(run, query, actions);
+    }
+}
+
+void FrontEngine::connectionLost(ConnectionId connection, const std::vector<FrameTag>& unsent)
+{
+    for (FrameTag tag : unsent) {
+        if (tag.value() & callTag)
+            continue;
+        std::uint64_t query = tag.value() >> attemptBits;
+        RunPointer run = findRun(query);
+        if (!run)
+            continue;
+        RunActions actions;
+        {
+            std::lock_guard lock(run->mutex);
+            actions = run->query->unsent(tag.value(), m_clock.now());
+        }
+        perform(run, query, actions);
+    }
+    for (Part& shard : m_parts) {
+        std::vector<std::pair<std::uint64_t, RunPointer>> runs;
+        {
+            std::lock_guard lock(shard.mutex);
+            runs.assign(shard.runs.begin(), shard.runs.end());
+        }
+        for (const auto& [query, run] : runs) {
+            RunActions actions;
+            {
+                std::lock_guard lock(run->mutex);
+                actions = run->query->connectionLost(connection.value(), m_clock.now());
+            }
+            perform(run, query, actions);
+        }
+    }
+    std::lock_guard lock(m_callsMutex);
+    for (const auto& [number, call] : m_calls) {
+        if (call->connection != connection)
+            continue;
+        std::lock_guard callLock(call->mutex);
+        call->lost = true;
+        call->changed.notify_all();
+    }
+}
+
+void FrontEngine::record(const SearchRequest& request, const Answer& answer, Instant start, std::uint64_t query)
+{
+    Instant now = m_clock.now();
+    Duration latency = now - start;
+    std::string label = "front=" + quoteJson(request.searchFront.value());
+    std::string outcome = std::string(textOf(answer.outcome));
+    std::string reason = answer.outcome == Outcome::NotRun ? std::string(textOf(answer.notRun)) : std::string(textOf(answer.unknown));
+    m_metrics.add("pimentopoint_requests_total", label + ",outcome=\"" + outcome + "\",reason=\"" + reason + "\"");
+    m_metrics.add("pimentopoint_first_sends_total", label, answer.firstSends);
+    m_metrics.add("pimentopoint_hedges_total", label, answer.hedges);
+    m_metrics.add("pimentopoint_retries_total", label, answer.retries);
+    m_metrics.observe("pimentopoint_latency_ms", label, latency);
+    m_metrics.observeShare("pimentopoint_coverage", label, answer.coverage.value());
+    std::string id = request.id.empty() ? std::to_string(m_incarnation.value()) + "-" + std::to_string(query) : request.id;
+    std::string explanation = "{\"id\":" + quoteJson(id) + ",\"searchFront\":" + quoteJson(request.searchFront.value()) + ",\"status\":\"" + outcome
+        + "\",\"reason\":\"" + reason + "\",\"latencyUs\":" + std::to_string(latency.count()) + ",\"firstSends\":" + std::to_string(answer.firstSends)
+        + ",\"hedges\":" + std::to_string(answer.hedges) + ",\"retries\":" + std::to_string(answer.retries) + ",\"snapshot\":"
+        + std::to_string(answer.snapshot.value()) + ",\"configuration\":" + std::to_string(answer.configuration.value()) + ",\"missingRanges\":"
+        + std::to_string(answer.missing.size()) + ",\"coverage\":" + std::to_string(answer.coverage.value()) + "}";
+    {
+        std::lock_guard lock(m_explainMutex);
+        if (m_explanations.emplace(id, explanation).second)
+            m_explanationOrder.push_back(id);
+        else
+            m_explanations[id] = explanation;
+        if (m_explanationOrder.size() > explanationCapacity) {
+            m_explanations.erase(m_explanationOrder.front());
+            m_explanationOrder.pop_front();
+        }
+    }
+    if (answer.outcome == Outcome::NotRun && callersFault(answer.notRun))
+        return;
+    ConfigurationPointer configuration = m_documents().configuration;
+    const SearchFront* front = configuration ? configuration->searchFront(request.searchFront) : nullptr;
+    if (!front)
+        return;
+    bool ran = answer.outcome == Outcome::Answered || answer.outcome == Outcome::Partial;
+    bool good = ran && answer.coverage >= front->enoughCoverage() && latency <= front->latencyObjective();
+    FrontState& state = frontState(request.searchFront);
+    std::lock_guard lock(state.mutex);
+    state.burn.record(good, now);
+}
+
+RenderedAnswer FrontEngine::finish(const SearchRequest& request, const Answer& answer, Instant start, std::uint64_t query)
+{
+    record(request, answer, start, query);
+    std::string id = request.id.empty() ? std::to_string(m_incarnation.value()) + "-" + std::to_string(query) : request.id;
+    return render(answer, id);
+}
+
+std::string FrontEngine::burnReport() const
+{
+    ConfigurationPointer configuration = m_documents().configuration;
+    std::string report = "{\"searchFronts\":[";
+    if (!configuration)
+        return report + "]}";
+    const char* separator = "";
+    for (const SearchFront& front : configuration->searchFronts()) {
+        report += separator + ("{\"name\":" + quoteJson(front.name().value())) + ",\"objective\":" + std::to_string(front.objective().value())
+            + ",\"latencyObjectiveUs\":" + std::to_string(front.latencyObjective().count()) + ",\"windows\":[";
+        separator = ",";
+        BurnWindows burn;
+        {
+            std::lock_guard lock(m_frontsMutex);
+            auto found = m_fronts.find(front.name());
+            if (found != m_fronts.end()) {
+                std::lock_guard stateLock(found->second->mutex);
+                burn = found->second->burn;
+            }
+        }
+        const char* windowSeparator = "";
+        for (const BurnWindows::Window& window : burn.windows(m_clock.now())) {
+            char rate[32];
+            std::snprintf(rate, sizeof rate, "%.3f", window.burn(front.objective()));
+            auto seconds = std::chrono::duration_cast<std::chrono::seconds>(window.length).count();
+            report += windowSeparator + ("{\"seconds\":" + std::to_string(seconds)) + ",\"good\":" + std::to_string(window.good) + ",\"bad\":"
+                + std::to_string(window.bad) + ",\"burn\":" + rate + "}";
+            windowSeparator = ",";
+        }
+        report += "]}";
+    }
+    return report + "]}";
+}
+
+std::string FrontEngine::explain(const std::string& id) const
+{
+    std::lock_guard lock(m_explainMutex);
+    auto found = m_explanations.find(id);
+    return found == m_explanations.end() ? "" : found->second;
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Caller/LatencyWindow.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "../Core/Clock.h"
+
+#include <array>
+#include <cstddef>
+#include <mutex>
+
+namespace pimentopoint {
+
+/// \class LatencyWindow
+/// \ingroup Caller
+/// \brief The latest latencies of sub-queries and a quantile of them.
+class LatencyWindow {
+public:
+    /// \param quantile the quantile to keep, 0 to 1
+    explicit LatencyWindow(double quantile)
+        : m_quantile(quantile)
+    {
+    }
+
+    void add(Duration latency);
+    /// \returns the quantile, or \a fallback before enough latencies were seen
+    Duration quantile(Duration fallback) const;
+
+private:
+    static constexpr std::size_t capacity = 1024;
+    static constexpr std::size_t least = 64;
+
+    void recompute();
+
+    mutable std::mutex m_mutex;
+    double m_quantile;
+    std::array<Duration, capacity> m_latencies {};
+    std::size_t m_count = 0;
+    Duration m_value { 0 };
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Caller/QueryRun.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "Answer.h"
+#include "Coverage.h"
+#include "ExtraSendBudget.h"
+#include "LatencyWindow.h"
+#include "Router.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentopoint {
+
+/// What QueryRun needs of its surroundings.
+struct QueryEnvironment {
+    Router& router;
+    ExtraSendBudget& budget;
+    LatencyWindow& latencies;
+    std::function<PinnedDocuments()> documents; ///< \returns the documents in force now
+};
+
+/// What the caller of QueryRun is to do.
+struct RunActions {
+    struct Send {
+        Route route;
+        SubQuery sub;
+    };
+    struct Cancel {
+        Endpoint endpoint;
+        std::uint64_t attempt;
+    };
+    std::vector<Send> sends;
+    std::vector<Cancel> cancels;
+    /// Whether the answer is ready.
+    bool finished = false;
+};
+
+/// \class QueryRun
+/// \ingroup Caller
+/// \brief One query from its plan to its answer.
+/// \details Pins one configuration and one snapshot before the first send. A reply counts only if it serves the pinned
+/// snapshot and its ranges lie in its shard. A sub-query is sent again only if it certainly did not run, or if the
+/// query is repeatable; the latter within the budget. Events in, actions out; holds no lock and reads no clock.
+class QueryRun {
+public:
+    /// \param searchFront name of a search front in \a documents
+    /// \param firstAttempt attempt numbers count up from here
+    QueryRun(QueryEnvironment environment, PinnedDocuments documents, const SearchFrontName& searchFront, std::uint64_t firstAttempt,
+        Instant start, Instant deadline);
+
+    RunActions begin(Instant now);
+    RunActions replied(const SubReply& reply, Instant now);
+    /// The frame with the attempts bound to \a tag did not leave.
+    RunActions unsent(std::uint64_t tag, Instant now);
+    /// The connection is lost; attempts bound to it may have run.
+    RunActions connectionLost(std::uint64_t connection, Instant now);
+    RunActions timer(Instant now);
+    /// Notes which frame and connection carry \a attempts.
+    void bind(const std::vector<std::uint64_t>& attempts, std::uint64_t tag, std::uint64_t connection);
+
+    bool finished() const { return m_finished; }
+    /// \returns when timer() is due next
+    Instant nextWake() const;
+    /// \returns the answer; valid once finished
+    const Answer& answer() const { return m_answer; }
+    const SearchFront& searchFront() const { return *m_front; }
+    SnapshotVersion snapshot() const { return m_group->snapshot(); }
+    const PinnedDocuments& documents() const { return m_documents; }
+    /// \returns the instant by which replies are due
+    Instant replyDeadline() const { return m_replyDeadline; }
+
+private:
+    struct ShardRun {
+        const Shard* shard = nullptr;
+        RouteExclusions exclusions;
+        unsigned outstanding = 0;
+        unsigned rounds = 0;
+        bool done = false;
+        bool hedged = false;
+        bool failed = false; ///< No way is left to try.
+        std::optional<Instant> retryAt;
+        Instant sentAt {};
+        std::vector<KeyRange> covered;
+        std::string hits;
+        NotRunReason refusal = NotRunReason::None;
+        UnknownReason uncertainty = UnknownReason::None;
+    };
+    struct Attempt {
+        std::size_t shard;
+        Route route;
+        Instant sentAt;
+        std::uint64_t tag = 0;
+        std::uint64_t connection = 0;
+    };
+
+    enum class SendKind {
+        First,
+        Hedge,
+        Retry,
+        Reroute, ///< The sub-query reached no target before.
+    };
+
+    void plan();
+    bool send(std::size_t shard, SendKind kind, Instant now, RunActions& actions);
+    void accept(ShardRun& run, const SubReply& reply);
+    void handleFailure(std::size_t shard, const Attempt& attempt, const SubReply& reply, Instant now, RunActions& actions);
+    void tryAgain(std::size_t shard, const SubReply& reply, Instant now, RunActions& actions);
+    void retryLater(ShardRun& run, Instant now);
+    bool replan(Instant now, RunActions& actions);
+    void cancelOthers(std::size_t shard, RunActions& actions);
+    void hedgeDue(Instant now, RunActions& actions);
+    void retryDue(Instant now, RunActions& actions);
+    void settle(Instant now, RunActions& actions);
+    void finish(RunActions& actions);
+    Fraction coveredSoFar() const;
+    bool everythingEnded() const;
+    Instant patienceEnd() const;
+    RunActions failAttempts(const std::function<bool(const Attempt&)>& selected, const SubReply& reply, Instant now);
+
+    QueryEnvironment m_environment;
+    PinnedDocuments m_documents;
+    SearchFrontName m_frontName;
+    const SearchFront* m_front = nullptr;
+    const ShardGroup* m_group = nullptr;
+    std::uint64_t m_nextAttempt;
+    Instant m_start;
+    Instant m_deadline;
+    Instant m_replyDeadline;
+    Duration m_hedgeDelay { 0 };
+    std::vector<ShardRun> m_shards;
+    std::unordered_map<std::uint64_t, Attempt> m_attempts;
+    std::uint64_t m_coveredKeys = 0;
+    bool m_replanned = false;
+    bool m_finished = false;
+    Answer m_answer;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Caller/TargetBoard.cpp
@@ -0,0 +1,130 @@
+#include "TargetBoard.h"
+
+#include <algorithm>
+
+namespace pimentopoint {
+
+namespace {
+
+    /// Load that a route to another data centre counts in addition (requests per slot, in hundredths).
+    constexpr std::uint64_t crossingLoad = 300;
+    /// Load that a target in doubt counts in addition (requests per slot, in hundredths).
+    constexpr std::uint64_t avoidedLoad = 1000;
+    constexpr std::uint64_t loadScale = 100;
+    /// Time for which a target whose sub-query was lost is avoided.
+    constexpr Duration avoidTime = std::chrono::milliseconds(250);
+
+} // namespace
+
+TargetBoard::TargetBoard(DataCentreName home, const Clock& clock, std::uint64_t seed)
+    : m_home(std::move(home))
+    , m_clock(clock)
+    , m_random(seed)
+{
+}
+
+void TargetBoard::setMembers(const std::vector<MemberRecord>& members)
+{
+    auto gateways = std::make_shared<Gateways>();
+    for (const MemberRecord& member : members) {
+        if (member.role() == MemberRole::Gateway && member.usable())
+            gateways->emplace(member.name(), member);
+    }
+    std::lock_guard lock(m_mutex);
+    m_gateways = std::move(gateways);
+}
+
+std::shared_ptr<const ShareTable> TargetBoard::shares(const ConfigurationPointer& configuration)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_sharesOf != configuration) {
+        m_shares = std::make_shared<const ShareTable>(*configuration);
+        m_sharesOf = configuration;
+    }
+    return m_shares;
+}
+
+std::uint64_t TargetBoard::random(std::uint64_t bound)
+{
+    std::lock_guard lock(m_mutex);
+    return m_random.below(bound);
+}
+
+std::uint64_t TargetBoard::loadOf(const Configuration& configuration, const Target& target, Route& route)
+{
+    Instant now = m_clock.now();
+    Part& shard = part(target.id());
+    std::lock_guard lock(shard.mutex);
+    const Memo& memo = shard.memos[target.id()];
+    route.hint = memo.warmth;
+    std::uint64_t load = (memo.outstanding + memo.queued) * loadScale / configuration.limits(target).slots();
+    load += target.dataCentre() == m_home ? 0 : crossingLoad;
+    load += now < memo.avoidUntil ? avoidedLoad : 0;
+    return load;
+}
+
+std::vector<TargetBoard::Candidate> TargetBoard::candidates(const PinnedDocuments& documents, const Shard& shard,
+    const RouteExclusions& exclusions)
+{
+    const Configuration& configuration = *documents.configuration;
+    auto table = shares(documents.configuration);
+    std::shared_ptr<const Gateways> gateways;
+    {
+        std::lock_guard lock(m_mutex);
+        gateways = m_gateways;
+    }
+    std::vector<Candidate> found;
+    for (TargetId id : shard.replicas()) {
+        const Target& target = *configuration.target(id);
+        bool leaving = documents.hosts && documents.hosts->leaving(id);
+        if (leaving || configuration.takenOut(target.dataCentre()))
+            continue;
+        for (const ShareTable::Owner& owner : table->owners(id)) {
+            auto gateway = gateways->find(owner.gateway);
+            if (gateway == gateways->end() || exclusions.excludes(id, owner.gateway))
+                continue;
+            Candidate candidate { { id, owner.gateway, gateway->second.tcp(), {} }, 0 };
+            candidate.load = loadOf(configuration, target, candidate.route);
+            candidate.load += gateway->second.state() == MemberState::Suspect ? avoidedLoad : 0;
+            found.push_back(std::move(candidate));
+        }
+    }
+    return found;
+}
+
+std::optional<Route> TargetBoard::choose(const PinnedDocuments& documents, const Shard& shard, const RouteExclusions& exclusions)
+{
+    std::vector<Candidate> found = candidates(documents, shard, exclusions);
+    if (found.empty())
+        return std::nullopt;
+    std::size_t start = random(found.size());
+    std::rotate(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(start), found.end());
+    auto lighter = [](const Candidate& a, const Candidate& b) { return a.load < b.load; };
+    return std::min_element(found.begin(), found.end(), lighter)->route;
+}
+
+void TargetBoard::sent(const Route& route)
+{
+    Part& shard = part(route.target);
+    std::lock_guard lock(shard.mutex);
+    ++shard.memos[route.target].outstanding;
+}
+
+void TargetBoard::ended(const Route& route, const SubReply* reply)
+{
+    Instant now = m_clock.now();
+    Part& shard = part(route.target);
+    std::lock_guard lock(shard.mutex);
+    Memo& memo = shard.memos[route.target];
+    if (memo.outstanding)
+        --memo.outstanding;
+    if (!reply || reply->outcome == Outcome::Unknown || reply->notRun == NotRunReason::Unreachable)
+        memo.avoidUntil = now + avoidTime;
+    if (!reply)
+        return;
+    memo.queued = reply->queued;
+    if (reply->warmth.incarnation.value())
+        memo.warmth = reply->warmth;
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Caller/TargetBoard.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "../Core/Random.h"
+#include "../Target/ShareTable.h"
+#include "Router.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace pimentopoint {
+
+/// \class TargetBoard
+/// \ingroup Caller
+/// \brief The front's view of targets and gateways; chooses the least loaded replica, at random among equals, home first.
+/// \details Load is what this front has outstanding plus what the gateway last reported to wait. A route whose
+/// sub-query was lost is avoided for a while. State is divided into parts, each under its own lock.
+class TargetBoard : public Router {
+public:
+    TargetBoard(DataCentreName home, const Clock& clock, std::uint64_t seed);
+
+    /// Sets which members may be used as gateways.
+    void setMembers(const std::vector<MemberRecord>& members);
+
+    std::optional<Route> choose(const PinnedDocuments& documents, const Shard& shard, const RouteExclusions& exclusions) override;
+    void sent(const Route& route) override;
+    void ended(const Route& route, const SubReply* reply) override;
+
+private:
+    struct Memo {
+        std::uint32_t outstanding = 0;
+        std::uint32_t queued = 0;
+        WarmthHint warmth;
+        Instant avoidUntil {};
+    };
+    struct Part {
+        std::mutex mutex;
+        std::unordered_map<TargetId, Memo> memos;
+    };
+    struct Candidate {
+        Route route;
+        std::uint64_t load = 0;
+    };
+    using Gateways = std::map<MemberName, MemberRecord>;
+
+    static constexpr std::size_t partCount = 16;
+
+    Part& part(TargetId target) { return m_parts[target.value() % partCount]; }
+    std::shared_ptr<const ShareTable> shares(const ConfigurationPointer& configuration);
+    std::vector<Candidate> candidates(const PinnedDocuments& documents, const Shard& shard, const RouteExclusions& exclusions);
+    std::uint64_t loadOf(const Configuration& configuration, const Target& target, Route& route);
+    std::uint64_t random(std::uint64_t bound);
+
+    DataCentreName m_home;
+    const Clock& m_clock;
+    std::mutex m_mutex;
+    Random m_random;
+    std::shared_ptr<const Gateways> m_gateways = std::make_shared<const Gateways>();
+    ConfigurationPointer m_sharesOf;
+    std::shared_ptr<const ShareTable> m_shares;
+    std::array<Part, partCount> m_parts;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Caller/TicketLedger.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "../Core/Clock.h"
+#include "../Core/Ids.h"
+#include "Answer.h"
+
+#include <array>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+namespace pimentopoint {
+
+/// \class TicketLedger
+/// \ingroup Caller
+/// \brief What became of every ticket that this incarnation issued.
+/// \details A ticket is claimed at most once. After its lifetime it is forgotten, and then counts as perhaps run. A
+/// number never issued was never run. State is divided into parts, each under its own lock.
+class TicketLedger {
+public:
+    /// What a request with a ticket meets.
+    enum class Claim {
+        Granted, ///< The caller of claim() runs the request now and calls finish().
+        Running, ///< It runs already.
+        Done, ///< It has run; the answer is here.
+        Mismatch, ///< The ticket was used for another request.
+        NotIssued, ///< This incarnation issued no such ticket.
+        Forgotten, ///< The ticket is too old; the request may have run.
+    };
+    struct ClaimResult {
+        Claim claim;
+        RenderedAnswer answer; ///< Set when \c claim is Done.
+    };
+
+    /// \param lifetime for which a ticket and its answer are remembered
+    /// \param capacity most tickets remembered at once
+    TicketLedger(Duration lifetime, std::size_t capacity)
+        : m_lifetime(lifetime)
+        , m_capacityPerPart(capacity / partCount)
+    {
+    }
+
+    /// \returns the number of a new ticket, or nothing if the ledger is full
+    std::optional<std::uint64_t> issue(Instant now);
+    /// \brief Claims ticket \a number for the request with digest \a request.
+    /// \param mayRun false to learn what became of it without running it; Granted then leaves it unclaimed
+    ClaimResult claim(std::uint64_t number, Digest request, bool mayRun, Instant now);
+    void finish(std::uint64_t number, RenderedAnswer answer);
+
+private:
+    enum class State {
+        Issued,
+        Running,
+        Done,
+    };
+    struct Entry {
+        State state = State::Issued;
+        Instant issuedAt;
+        Digest request;
+        RenderedAnswer answer;
+    };
+    struct Part {
+        std::mutex mutex;
+        std::unordered_map<std::uint64_t, Entry> entries;
+        std::deque<std::uint64_t> order;
+    };
+
+    static constexpr std::size_t partCount = 16;
+
+    Part& part(std::uint64_t number) { return m_parts[number % partCount]; }
+    void forgetOld(Part& part, Instant now) const;
+
+    Duration m_lifetime;
+    std::size_t m_capacityPerPart;
+    std::mutex m_numberMutex;
+    std::uint64_t m_lastNumber = 0;
+    std::array<Part, partCount> m_parts;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Core/BurnWindows.cpp
@@ -0,0 +1,54 @@
+#include "BurnWindows.h"
+
+namespace pimentopoint {
+
+namespace {
+
+    constexpr Duration bucketLength = std::chrono::seconds(10);
+    constexpr std::array<Duration, 4> windowLengths { std::chrono::minutes(1), std::chrono::minutes(5), std::chrono::minutes(30),
+        std::chrono::hours(1) };
+
+    std::int64_t indexOf(Instant now)
+    {
+        return now.time_since_epoch() / bucketLength;
+    }
+
+} // namespace
+
+double BurnWindows::Window::burn(Fraction objective) const
+{
+    constexpr double smallestAllowance = 1e-6;
+    if (!all())
+        return 0;
+    double allowed = std::max(1 - objective.value(), smallestAllowance);
+    return static_cast<double>(bad) / static_cast<double>(all()) / allowed;
+}
+
+void BurnWindows::record(bool good, Instant now)
+{
+    std::int64_t index = indexOf(now);
+    Bucket& bucket = m_buckets[static_cast<std::size_t>(index) % bucketCount];
+    if (bucket.index != index)
+        bucket = { index, 0, 0 };
+    ++(good ? bucket.good : bucket.bad);
+}
+
+std::vector<BurnWindows::Window> BurnWindows::windows(Instant now) const
+{
+    std::int64_t last = indexOf(now);
+    std::vector<Window> windows;
+    for (Duration length : windowLengths) {
+        Window window { length };
+        std::int64_t first = last - length / bucketLength;
+        for (const Bucket& bucket : m_buckets) {
+            if (bucket.index <= first || bucket.index > last)
+                continue;
+            window.good += bucket.good;
+            window.bad += bucket.bad;
+        }
+        windows.push_back(window);
+    }
+    return windows;
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Core/Clock.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+
+namespace pimentopoint {
+
+using Duration = std::chrono::microseconds;
+
+/// Tag of the time scale that all decisions use: monotonic, of one process.
+struct MonotonicTimeScale {
+    using duration = Duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<MonotonicTimeScale, duration>;
+    static constexpr bool is_steady = true;
+};
+
+using Instant = MonotonicTimeScale::time_point;
+
+/// \class Clock
+/// \ingroup Core
+/// \brief Source of the monotonic time of this process.
+class Clock {
+public:
+    virtual ~Clock() = default;
+    /// \returns the present instant; never smaller than one returned before
+    virtual Instant now() const = 0;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Operator/Configuration.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "../Core/Ids.h"
+#include "DataCentre.h"
+#include "SearchFront.h"
+#include "ShardGroup.h"
+#include "Target.h"
+#include "TargetSet.h"
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentopoint {
+
+/// \class Configuration
+/// \ingroup Operator
+/// \brief What operators publish, checked as a whole and immutable.
+/// \sa ConfigurationBuilder, readConfiguration
+class Configuration {
+public:
+    struct Parts {
+        ConfigurationVersion version;
+        std::vector<DataCentre> dataCentres;
+        std::vector<TargetSet> targetSets;
+        std::vector<Target> targets;
+        std::vector<ShardGroup> shardGroups;
+        std::vector<SearchFront> searchFronts;
+    };
+
+    explicit Configuration(Parts parts);
+
+    ConfigurationVersion version() const { return m_parts.version; }
+    const std::vector<DataCentre>& dataCentres() const { return m_parts.dataCentres; }
+    const std::vector<TargetSet>& targetSets() const { return m_parts.targetSets; }
+    const std::vector<Target>& targets() const { return m_parts.targets; }
+    const std::vector<ShardGroup>& shardGroups() const { return m_parts.shardGroups; }
+    const std::vector<SearchFront>& searchFronts() const { return m_parts.searchFronts; }
+
+    /// \returns the target with \a id, or null
+    const Target* target(TargetId id) const;
+    /// \returns the search front called \a name, or null
+    const SearchFront* searchFront(const SearchFrontName& name) const;
+    /// \returns the data centre called \a name, or null
+    const DataCentre* dataCentre(const DataCentreName& name) const;
+    /// \returns the limits of \a target
+    const TargetSet& limits(const Target& target) const { return m_parts.targetSets[target.set()]; }
+    /// \returns whether operators have taken out the data centre called \a name
+    bool takenOut(const DataCentreName& name) const;
+    /// \returns the longest deadline of all search fronts
+    Duration longestDeadline() const { return m_longestDeadline; }
+
+private:
+    Parts m_parts;
+    std::unordered_map<TargetId, std::size_t> m_targetIndex;
+    std::map<SearchFrontName, std::size_t> m_searchFrontIndex;
+    std::map<DataCentreName, std::size_t> m_dataCentreIndex;
+    Duration m_longestDeadline { 0 };
+};
+
+using ConfigurationPointer = std::shared_ptr<const Configuration>;
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Operator/TargetSet.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "../Core/Clock.h"
+
+#include <cstdint>
+#include <string>
+
+namespace pimentopoint {
+
+/// \class TargetSet
+/// \ingroup Operator
+/// \brief Limits that several targets share; each figure is per target.
+class TargetSet {
+public:
+    explicit TargetSet(std::string name)
+        : m_name(std::move(name))
+    {
+    }
+
+    const std::string& name() const { return m_name; }
+    /// \returns the most requests that a target works on at once
+    std::uint32_t slots() const { return m_slots; }
+    TargetSet& setSlots(std::uint32_t slots)
+    {
+        m_slots = slots;
+        return *this;
+    }
+    /// \returns the most connections that a target accepts
+    std::uint32_t connections() const { return m_connections; }
+    TargetSet& setConnections(std::uint32_t connections)
+    {
+        m_connections = connections;
+        return *this;
+    }
+    /// \returns what a new connection costs the target
+    Duration connectTime() const { return m_connectTime; }
+    TargetSet& setConnectTime(Duration connectTime)
+    {
+        m_connectTime = connectTime;
+        return *this;
+    }
+    /// \returns the most requests at once that a cold target bears, over all senders
+    std::uint32_t coldLimit() const { return m_coldLimit; }
+    TargetSet& setColdLimit(std::uint32_t coldLimit)
+    {
+        m_coldLimit = coldLimit;
+        return *this;
+    }
+
+private:
+    std::string m_name;
+    std::uint32_t m_slots = 1;
+    std::uint32_t m_connections = 1;
+    Duration m_connectTime { 0 };
+    std::uint32_t m_coldLimit = 1;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Peer/DocumentPieces.cpp
@@ -0,0 +1,81 @@
+#include "DocumentPieces.h"
+
+#include <unordered_map>
+#include <unordered_set>
+
+namespace pimentopoint {
+
+namespace {
+
+    /// One line in so many ends a piece.
+    constexpr std::uint64_t linesPerPiece = 32;
+    /// Size at which a piece ends in any case (bytes).
+    constexpr std::size_t maxPieceBytes = 32 << 10;
+
+} // namespace
+
+std::vector<std::string_view> splitDocument(std::string_view text)
+{
+    std::vector<std::string_view> pieces;
+    std::size_t begin = 0;
+    std::size_t position = 0;
+    while (position < text.size()) {
+        std::size_t newline = text.find('\n', position);
+        std::size_t end = newline == std::string_view::npos ? text.size() : newline + 1;
+        std::string_view line = text.substr(position, end - position);
+        position = end;
+        bool selected = hashOf(line) % linesPerPiece == 0;
+        if (selected || position - begin >= maxPieceBytes || position == text.size()) {
+            pieces.push_back(text.substr(begin, position - begin));
+            begin = position;
+        }
+    }
+    return pieces;
+}
+
+std::vector<Digest> pieceDigests(std::string_view text)
+{
+    std::vector<Digest> digests;
+    for (std::string_view piece : splitDocument(text))
+        digests.emplace_back(hashOf(piece));
+    return digests;
+}
+
+DocumentReply makeDocumentReply(const DocumentRequest& request, std::uint64_t version, std::string_view text)
+{
+    DocumentReply reply;
+    reply.kind = request.kind;
+    reply.version = version;
+    reply.digest = Digest(hashOf(text));
+    if (version <= request.above)
+        return reply;
+    std::unordered_set<Digest> held(request.chunks.begin(), request.chunks.end());
+    for (std::string_view piece : splitDocument(text)) {
+        Digest digest(hashOf(piece));
+        reply.pieces.push_back({ digest, held.contains(digest) ? std::string() : std::string(piece) });
+    }
+    return reply;
+}
+
+std::optional<std::string> assembleDocument(const DocumentReply& reply, std::string_view held)
+{
+    std::unordered_map<Digest, std::string_view> pieces;
+    for (std::string_view piece : splitDocument(held))
+        pieces.emplace(Digest(hashOf(piece)), piece);
+    std::string text;
+    for (const DocumentReply::Piece& piece : reply.pieces) {
+        if (!piece.text.empty()) {
+            text += piece.text;
+            continue;
+        }
+        auto found = pieces.find(piece.digest);
+        if (found == pieces.end())
+            return std::nullopt;
+        text += found->second;
+    }
+    if (Digest(hashOf(text)) != reply.digest)
+        return std::nullopt;
+    return text;
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Peer/DocumentStore.cpp
@@ -0,0 +1,111 @@
+#include "DocumentStore.h"
+
+#include "../Operator/ConfigurationText.h"
+#include "../Operator/InvalidDocument.h"
+#include "DocumentPieces.h"
+
+namespace pimentopoint {
+
+OfferResult DocumentStore::offer(DocumentKind kind, const std::string& text)
+{
+    Digest digest(hashOf(text));
+    {
+        std::lock_guard lock(m_mutex);
+        const Held& current = held(kind);
+        if (current.version && current.digest == digest)
+            return {};
+        if (current.refused == digest)
+            return { Adoption::Refused, "refused before" };
+    }
+    try {
+        if (kind == DocumentKind::Configuration) {
+            ConfigurationPointer parsed = readConfiguration(text);
+            std::lock_guard lock(m_mutex);
+            OfferResult result = adoptLocked(m_heldConfiguration, parsed->version().value(), text);
+            if (result.adoption == Adoption::Adopted)
+                m_configuration = std::move(parsed);
+            return result;
+        }
+        HostListPointer parsed = readHostList(text);
+        std::lock_guard lock(m_mutex);
+        OfferResult result = adoptLocked(m_heldHosts, parsed->version().value(), text);
+        if (result.adoption == Adoption::Adopted)
+            m_hosts = std::move(parsed);
+        return result;
+    } catch (const InvalidDocument& invalid) {
+        std::lock_guard lock(m_mutex);
+        held(kind).refused = digest;
+        return { Adoption::Refused, invalid.what() };
+    }
+}
+
+OfferResult DocumentStore::adoptLocked(Held& current, std::uint64_t version, const std::string& text)
+{
+    if (version < current.version)
+        return {};
+    if (version == current.version)
+        return { Adoption::Conflict, "version " + std::to_string(version) + " with other content" };
+    current.version = version;
+    current.digest = Digest(hashOf(text));
+    current.text = text;
+    return { Adoption::Adopted, "" };
+}
+
+DocumentStore::InForce DocumentStore::inForce() const
+{
+    std::lock_guard lock(m_mutex);
+    return { m_configuration, m_hosts, versionsLocked() };
+}
+
+Versions DocumentStore::versions() const
+{
+    std::lock_guard lock(m_mutex);
+    return versionsLocked();
+}
+
+Versions DocumentStore::versionsLocked() const
+{
+    return { ConfigurationVersion(m_heldConfiguration.version), m_heldConfiguration.digest, HostListVersion(m_heldHosts.version),
+        m_heldHosts.digest };
+}
+
+std::string DocumentStore::text(DocumentKind kind) const
+{
+    std::lock_guard lock(m_mutex);
+    return held(kind).text;
+}
+
+std::uint64_t DocumentStore::version(DocumentKind kind) const
+{
+    std::lock_guard lock(m_mutex);
+    return held(kind).version;
+}
+
+DocumentRequest DocumentStore::request(DocumentKind kind) const
+{
+    DocumentRequest request;
+    request.kind = kind;
+    std::lock_guard lock(m_mutex);
+    request.above = held(kind).version;
+    request.chunks = pieceDigests(held(kind).text);
+    return request;
+}
+
+DocumentReply DocumentStore::reply(const DocumentRequest& request) const
+{
+    std::lock_guard lock(m_mutex);
+    const Held& current = held(request.kind);
+    return makeDocumentReply(request, current.version, current.text);
+}
+
+OfferResult DocumentStore::accept(const DocumentReply& reply)
+{
+    if (reply.pieces.empty())
+        return {};
+    auto assembled = assembleDocument(reply, text(reply.kind));
+    if (!assembled)
+        return { Adoption::Refused, "a piece of the document is missing" };
+    return offer(reply.kind, *assembled);
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Peer/MalformedMessage.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "../Core/Failure.h"
+
+namespace pimentopoint {
+
+/// \class MalformedMessage
+/// \ingroup Peer
+/// \brief Bytes from another process that decode to no message: cut, too long, of an unknown type or version.
+class MalformedMessage : public Failure {
+public:
+    enum class Cause {
+        Truncated,
+        TooLong,
+        UnknownType,
+        OtherProtocolVersion,
+        TrailingBytes,
+        InvalidValue,
+    };
+
+    MalformedMessage(Cause cause, const std::string& detail)
+        : Failure(detail)
+        , m_cause(cause)
+    {
+    }
+
+    Cause cause() const { return m_cause; }
+
+private:
+    Cause m_cause;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Peer/Membership.cpp
@@ -0,0 +1,358 @@
+#include "Membership.h"
+
+#include "Frame.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace pimentopoint {
+
+namespace {
+
+    /// Bytes that the news in one datagram may take.
+    constexpr std::size_t newsBudgetBytes = 900;
+    /// Members told directly that we leave; the rest hear it from them.
+    constexpr unsigned leaveFanout = 16;
+    /// Members probed at once by revalidate().
+    constexpr unsigned revalidationProbes = 3;
+
+    std::size_t encodedBytes(const MemberRecord& record)
+    {
+        std::string bytes;
+        WireWriter writer(bytes);
+        writer(record);
+        return bytes.size();
+    }
+
+} // namespace
+
+Membership::Membership(MemberRecord self, std::vector<Endpoint> seeds, MembershipTiming timing, std::uint64_t seed)
+    : m_self(std::move(self))
+    , m_seeds(std::move(seeds))
+    , m_timing(timing)
+    , m_random(seed)
+{
+    std::erase(m_seeds, m_self.udp());
+}
+
+std::vector<MemberRecord> Membership::members() const
+{
+    std::vector<MemberRecord> records;
+    records.reserve(m_entries.size());
+    for (const auto& [name, entry] : m_entries)
+        records.push_back(entry.record);
+    return records;
+}
+
+const MemberRecord* Membership::member(const MemberName& name) const
+{
+    auto found = m_entries.find(name);
+    return found == m_entries.end() ? nullptr : &found->second.record;
+}
+
+std::size_t Membership::usableCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(),
+        [](const auto& entry) { return entry.second.record.usable(); }));
+}
+
+unsigned Membership::rumourSends() const
+{
+    return 2 * static_cast<unsigned>(std::bit_width(m_entries.size() + 1));
+}
+
+void Membership::spread(const MemberRecord& record)
+{
+    std::erase_if(m_rumours, [&](const Rumour& rumour) { return rumour.record.name() == record.name(); });
+    m_rumours.push_back({ record, rumourSends() });
+}
+
+Gossip Membership::gossip()
+{
+    Gossip gossip { m_self, m_versions, {} };
+    std::sort(m_rumours.begin(), m_rumours.end(), [](const Rumour& a, const Rumour& b) { return a.sendsLeft > b.sendsLeft; });
+    std::size_t bytes = 0;
+    for (Rumour& rumour : m_rumours) {
+        bytes += encodedBytes(rumour.record);
+        if (bytes > newsBudgetBytes)
+            break;
+        gossip.news.push_back(rumour.record);
+        --rumour.sendsLeft;
+    }
+    std::erase_if(m_rumours, [](const Rumour& rumour) { return !rumour.sendsLeft; });
+    return gossip;
+}
+
+void Membership::sendProbe(const Endpoint& to, std::uint64_t sequence, MembershipActions& actions)
+{
+    actions.datagrams.push_back({ to, encodeDatagram(Probe { sequence, gossip() }) });
+}
+
+std::vector<MemberRecord> Membership::randomUsable(unsigned count, const MemberName& except)
+{
+    std::vector<MemberRecord> candidates;
+    for (const auto& [name, entry] : m_entries) {
+        if (entry.record.usable() && name != except)
+            candidates.push_back(entry.record);
+    }
+    std::vector<MemberRecord> chosen;
+    while (chosen.size() < count && !candidates.empty()) {
+        std::size_t index = m_random.below(candidates.size());
+        chosen.push_back(candidates[index]);
+        candidates[index] = candidates.back();
+        candidates.pop_back();
+    }
+    return chosen;
+}
+
+MembershipActions Membership::tick(Instant now)
+{
+    MembershipActions actions;
+    settleProbe(now, actions);
+    ageSuspicions(now, actions);
+    std::erase_if(m_relays, [&](const auto& relay) { return now - relay.second.since > m_timing.period; });
+    if (now >= m_nextProbe) {
+        m_nextProbe = now + m_timing.period;
+        probeNext(now, actions);
+    }
+    if (now >= m_nextSeedProbe) {
+        m_nextSeedProbe = now + m_timing.seedInterval;
+        probeSeeds(now, actions);
+    }
+    return actions;
+}
+
+void Membership::settleProbe(Instant now, MembershipActions& actions)
+{
+    if (!m_pending)
+        return;
+    Duration waited = now - m_pending->sentAt;
+    auto found = m_entries.find(m_pending->subject);
+    if (found == m_entries.end()) {
+        m_pending.reset();
+        return;
+    }
+    if (!m_pending->indirect && waited >= m_timing.ackTimeout) {
+        m_pending->indirect = true;
+        for (const MemberRecord& helper : randomUsable(m_timing.indirectProbes, m_pending->subject)) {
+            IndirectProbe request { m_pending->sequence, found->second.record.udp(), gossip() };
+            actions.datagrams.push_back({ helper.udp(), encodeDatagram(request) });
+        }
+    }
+    if (waited >= m_timing.period) {
+        m_pending.reset();
+        if (found->second.record.state() == MemberState::Alive)
+            setState(found->second, MemberState::Suspect, now, actions);
+    }
+}
+
+void Membership::ageSuspicions(Instant now, MembershipActions& actions)
+{
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        MemberState state = entry->second.record.state();
+        Duration age = now - entry->second.changedAt;
+        if (state == MemberState::Suspect && age >= m_timing.period * m_timing.suspicionPeriods)
+            setState(entry->second, MemberState::Dead, now, actions);
+        bool forget = (state == MemberState::Dead || state == MemberState::Leaving) && age >= m_timing.deadRetention;
+        entry = forget ? m_entries.erase(entry) : std::next(entry);
+    }
+}
+
+void Membership::probeNext(Instant now, MembershipActions& actions)
+{
+    for (std::size_t tries = 0; tries <= m_entries.size(); ++tries) {
+        if (m_probeIndex >= m_probeOrder.size()) {
+            m_probeOrder.clear();
+            for (const auto& [name, entry] : m_entries)
+                m_probeOrder.push_back(name);
+            for (std::size_t i = m_probeOrder.size(); i > 1; --i)
+                std::swap(m_probeOrder[i - 1], m_probeOrder[m_random.below(i)]);
+            m_probeIndex = 0;
+        }
+        if (m_probeOrder.empty())
+            return;
+        auto found = m_entries.find(m_probeOrder[m_probeIndex++]);
+        if (found == m_entries.end() || !found->second.record.usable())
+            continue;
+        m_pending = PendingProbe { ++m_sequence, found->first, now };
+        sendProbe(found->second.record.udp(), m_pending->sequence, actions);
+        return;
+    }
+}
+
+void Membership::probeSeeds(Instant, MembershipActions& actions)
+{
+    std::vector<Endpoint> unreached;
+    for (const Endpoint& seed : m_seeds) {
+        auto known = std::find_if(m_entries.begin(), m_entries.end(), [&](const auto& entry) { return entry.second.record.udp() == seed; });
+        if (known == m_entries.end())
+            unreached.push_back(seed);
+    }
+    for (const auto& [name, entry] : m_entries) {
+        if (entry.record.state() == MemberState::Dead)
+            unreached.push_back(entry.record.udp());
+    }
+    if (m_entries.empty()) {
+        for (const Endpoint& seed : unreached)
+            sendProbe(seed, ++m_sequence, actions);
+    } else if (!unreached.empty()) {
+        sendProbe(unreached[m_random.below(unreached.size())], ++m_sequence, actions);
+    }
+}
+
+void Membership::setState(Entry& entry, MemberState state, Instant now, MembershipActions& actions)
+{
+    entry.record.setState(state);
+    entry.changedAt = now;
+    spread(entry.record);
+    actions.changed.push_back(entry.record);
+}
+
+void Membership::considerSelf(const MemberRecord& record, MembershipActions& actions)
+{
+    if (record.incarnation() > m_self.incarnation()) {
+        actions.superseded = true;
+        return;
+    }
+    bool aboutUs = record.incarnation() == m_self.incarnation();
+    if (!aboutUs || m_self.state() == MemberState::Leaving || !record.supersedes(m_self))
+        return;
+    m_self.setRevision(record.revision() + 1);
+    spread(m_self);
+}
+
+void Membership::consider(const MemberRecord& record, Instant now, MembershipActions& actions)
+{
+    if (record.name() == m_self.name())
+        return considerSelf(record, actions);
+    auto [found, added] = m_entries.try_emplace(record.name(), Entry { record, now });
+    if (!added && !record.supersedes(found->second.record))
+        return;
+    found->second = { record, now };
+    spread(record);
+    actions.changed.push_back(record);
+}
+
+void Membership::considerGossip(const Gossip& gossip, Instant now, MembershipActions& actions)
+{
+    if (gossip.sender.name() == m_self.name())
+        return considerSelf(gossip.sender, actions);
+    bool firstMember = m_entries.empty();
+    consider(gossip.sender, now, actions);
+    for (const MemberRecord& record : gossip.news)
+        consider(record, now, actions);
+    if (firstMember)
+        actions.unknownMembersAt = gossip.sender;
+    if (gossip.versions.newerThan(m_versions))
+        actions.newerDocumentsAt = gossip.sender;
+    if (gossip.versions.conflictsWith(m_versions))
+        actions.conflict = true;
+}
+
+MembershipActions Membership::receive(const std::string& bytes, const Endpoint& from, Instant now)
+{
+    MembershipActions actions;
+    Frame frame = Frame::parse(bytes);
+    switch (frame.type()) {
+    case MessageType::Probe:
+        handleProbe(frame.decode<Probe>(), from, now, actions);
+        break;
+    case MessageType::ProbeAck:
+        handleAck(frame.decode<ProbeAck>(), now, actions);
+        break;
+    case MessageType::IndirectProbe:
+        handleIndirect(frame.decode<IndirectProbe>(), from, now, actions);
+        break;
+    case MessageType::Notice:
+        considerGossip(frame.decode<Notice>().gossip, now, actions);
+        break;
+    default:
+        throw MalformedMessage(MalformedMessage::Cause::UnknownType, "message type not used over UDP");
+    }
+    return actions;
+}
+
+void Membership::handleProbe(const Probe& probe, const Endpoint& from, Instant now, MembershipActions& actions)
+{
+    considerGossip(probe.gossip, now, actions);
+    // A sender that others hold for dead learns it from us and refutes it.
+    auto known = m_entries.find(probe.gossip.sender.name());
+    if (known != m_entries.end() && known->second.record.supersedes(probe.gossip.sender))
+        spread(known->second.record);
+    actions.datagrams.push_back({ from, encodeDatagram(ProbeAck { probe.sequence, gossip() }) });
+}
+
+void Membership::handleAck(const ProbeAck& ack, Instant now, MembershipActions& actions)
+{
+    considerGossip(ack.gossip, now, actions);
+    auto relay = m_relays.find(ack.sequence);
+    if (relay != m_relays.end()) {
+        ProbeAck forwarded { relay->second.originalSequence, ack.gossip };
+        actions.datagrams.push_back({ relay->second.origin, encodeDatagram(forwarded) });
+        m_relays.erase(relay);
+        return;
+    }
+    if (m_revalidatedFrom && ack.sequence >= m_revalidatedFrom)
+        actions.confirmed = true;
+    if (m_pending && m_pending->sequence == ack.sequence)
+        m_pending.reset();
+}
+
+void Membership::handleIndirect(const IndirectProbe& request, const Endpoint& from, Instant now, MembershipActions& actions)
+{
+    considerGossip(request.gossip, now, actions);
+    std::uint64_t sequence = ++m_sequence;
+    m_relays[sequence] = { request.sequence, from, now };
+    sendProbe(request.subject, sequence, actions);
+}
+
+MembershipActions Membership::merge(const std::vector<MemberRecord>& records, Instant now)
+{
+    MembershipActions actions;
+    for (const MemberRecord& record : records)
+        consider(record, now, actions);
+    return actions;
+}
+
+void Membership::sendNotices(unsigned count, MembershipActions& actions)
+{
+    for (const MemberRecord& record : randomUsable(count, m_self.name()))
+        actions.datagrams.push_back({ record.udp(), encodeDatagram(Notice { gossip() }) });
+}
+
+MembershipActions Membership::setVersions(const Versions& versions, Instant)
+{
+    MembershipActions actions;
+    bool newer = versions.newerThan(m_versions);
+    m_versions = versions;
+    if (newer)
+        sendNotices(m_timing.noticeFanout, actions);
+    return actions;
+}
+
+MembershipActions Membership::revalidate(Instant now)
+{
+    MembershipActions actions;
+    m_pending.reset();
+    m_nextProbe = now + m_timing.period;
+    m_revalidatedFrom = m_sequence + 1;
+    for (auto& [name, entry] : m_entries) {
+        // Time in which nothing was received is no evidence against anyone.
+        if (entry.record.state() == MemberState::Suspect)
+            entry.changedAt = now;
+    }
+    for (const MemberRecord& record : randomUsable(revalidationProbes, m_self.name()))
+        sendProbe(record.udp(), ++m_sequence, actions);
+    return actions;
+}
+
+MembershipActions Membership::leave(Instant)
+{
+    MembershipActions actions;
+    m_self.setRevision(m_self.revision() + 1);
+    m_self.setState(MemberState::Leaving);
+    sendNotices(leaveFanout, actions);
+    return actions;
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Peer/Messages.h
@@ -0,0 +1,273 @@
+/// \file
+/// Messages between processes; docs/PROTOCOLS.md gives their bytes.
+#pragma once
+
+#include "../Core/AttemptId.h"
+#include "../Core/Clock.h"
+#include "../Core/Ids.h"
+#include "../Core/KeyRange.h"
+#include "../Core/Outcome.h"
+#include "../Operator/SearchFront.h"
+#include "MemberRecord.h"
+#include "Versions.h"
+#include "WireArchive.h"
+
+#include <string>
+#include <vector>
+
+namespace pimentopoint {
+
+/// Type byte of a message.
+enum class MessageType : std::uint8_t {
+    SearchBatch = 1,
+    ReplyBatch = 2,
+    CancelBatch = 3,
+    DocumentRequest = 4,
+    DocumentReply = 5,
+    MembersRequest = 6,
+    MembersReply = 7,
+    TicketedRequest = 8,
+    TicketedReply = 9,
+    Heartbeat = 10,
+    HeartbeatAck = 11,
+    Probe = 20,
+    ProbeAck = 21,
+    IndirectProbe = 22,
+    Notice = 23,
+};
+
+/// Evidence that a target was warm: its incarnation and its usual service time (microseconds).
+struct WarmthHint {
+    Incarnation incarnation;
+    std::uint32_t serviceTime = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(incarnation, serviceTime); }
+};
+
+/// One part of a query: a key range to ask of a target.
+struct SubQuery {
+    std::uint64_t attempt = 0;
+    TargetId target;
+    KeyRange range;
+    WarmthHint hint;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(attempt, target, range, hint); }
+};
+
+/// Sub-queries of one query for one gateway.
+struct SearchBatch {
+    static constexpr MessageType type = MessageType::SearchBatch;
+    Versions versions;
+    Incarnation sender;
+    std::uint64_t remaining = 0; ///< Time left to the deadline (microseconds).
+    Urgency urgency = Urgency::Ordinary;
+    bool repeatable = true;
+    SnapshotVersion snapshot;
+    std::string text;
+    std::vector<SubQuery> parts;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(versions, sender, remaining, repeatable, snapshot, text, parts);
+        serializeEnumeration(archive, urgency, Urgency::Urgent);
+    }
+};
+
+/// What became of one sub-query.
+struct SubReply {
+    std::uint64_t attempt = 0;
+    Outcome outcome = Outcome::NotRun;
+    NotRunReason notRun = NotRunReason::None;
+    UnknownReason unknown = UnknownReason::None;
+    bool reachedTarget = false; ///< Whether the target saw the sub-query.
+    SnapshotVersion snapshot; ///< The version that the target served.
+    std::vector<KeyRange> covered; ///< The ranges that the hits are whole for.
+    std::string hits; ///< A JSON array.
+    std::uint32_t queued = 0; ///< Sub-queries that wait for the target at the gateway.
+    bool cold = false; ///< Whether the gateway holds the target for cold.
+    WarmthHint warmth; ///< Evidence of warmth, empty while cold.
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(attempt, reachedTarget, snapshot, covered, hits, queued, cold, warmth);
+        serializeEnumeration(archive, outcome, Outcome::Unknown);
+        serializeEnumeration(archive, notRun, NotRunReason::Cancelled);
+        serializeEnumeration(archive, unknown, UnknownReason::InvalidReply);
+    }
+};
+
+/// Replies to sub-queries of one front incarnation.
+struct ReplyBatch {
+    static constexpr MessageType type = MessageType::ReplyBatch;
+    Versions versions;
+    Incarnation sender; ///< The front incarnation whose attempts these are.
+    std::vector<SubReply> replies;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(versions, sender, replies); }
+};
+
+/// Attempts that the front no longer waits for.
+struct CancelBatch {
+    static constexpr MessageType type = MessageType::CancelBatch;
+    Incarnation sender;
+    std::vector<std::uint64_t> attempts;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(sender, attempts); }
+};
+
+/// Which published document is meant.
+enum class DocumentKind : std::uint8_t {
+    Configuration,
+    Hosts,
+};
+
+/// Asks for a document newer than \c above; \c chunks names the digests of pieces already held.
+struct DocumentRequest {
+    static constexpr MessageType type = MessageType::DocumentRequest;
+    DocumentKind kind = DocumentKind::Configuration;
+    std::uint64_t above = 0;
+    std::vector<Digest> chunks;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(above, chunks);
+        serializeEnumeration(archive, kind, DocumentKind::Hosts);
+    }
+};
+
+/// A document as a list of pieces; a piece that the asker holds travels as its digest alone.
+struct DocumentReply {
+    static constexpr MessageType type = MessageType::DocumentReply;
+    struct Piece {
+        Digest digest;
+        std::string text;
+
+        template <typename Archive>
+        void serialize(Archive& archive) { archive(digest, text); }
+    };
+
+    DocumentKind kind = DocumentKind::Configuration;
+    std::uint64_t version = 0;
+    Digest digest;
+    std::vector<Piece> pieces;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version, digest, pieces);
+        serializeEnumeration(archive, kind, DocumentKind::Hosts);
+    }
+};
+
+/// Asks for all members.
+struct MembersRequest {
+    static constexpr MessageType type = MessageType::MembersRequest;
+    MemberRecord self;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(self); }
+};
+
+/// All members that the sender knows.
+struct MembersReply {
+    static constexpr MessageType type = MessageType::MembersReply;
+    std::vector<MemberRecord> members;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(members); }
+};
+
+/// A request with a ticket, passed to the front that issued the ticket.
+struct TicketedRequest {
+    static constexpr MessageType type = MessageType::TicketedRequest;
+    std::uint64_t call = 0; ///< Echoed by the reply.
+    std::string ticket;
+    SearchFrontName searchFront;
+    std::string text;
+    std::uint64_t remaining = 0; ///< Time left to the deadline (microseconds).
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(call, ticket, searchFront, text, remaining); }
+};
+
+/// The answer to a TicketedRequest, as it goes to the caller.
+struct TicketedReply {
+    static constexpr MessageType type = MessageType::TicketedReply;
+    std::uint64_t call = 0;
+    std::uint32_t status = 0;
+    std::string body;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(call, status, body); }
+};
+
+/// Asks the other end of a connection for a sign of life.
+struct Heartbeat {
+    static constexpr MessageType type = MessageType::Heartbeat;
+    std::uint64_t number = 0;
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(number); }
+};
+
+/// Answers a Heartbeat.
+struct HeartbeatAck {
+    static constexpr MessageType type = MessageType::HeartbeatAck;
+    std::uint64_t number = 0;
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(number); }
+};
+
+/// Part of every datagram: who sends it, what it has in force and what it heard of members.
+struct Gossip {
+    MemberRecord sender;
+    Versions versions;
+    std::vector<MemberRecord> news;
+
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(sender, versions, news); }
+};
+
+/// Asks a member for a sign of life.
+struct Probe {
+    static constexpr MessageType type = MessageType::Probe;
+    std::uint64_t sequence = 0;
+    Gossip gossip;
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(sequence, gossip); }
+};
+
+/// Answers a Probe.
+struct ProbeAck {
+    static constexpr MessageType type = MessageType::ProbeAck;
+    std::uint64_t sequence = 0;
+    Gossip gossip;
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(sequence, gossip); }
+};
+
+/// Asks a member to probe another for the sender.
+struct IndirectProbe {
+    static constexpr MessageType type = MessageType::IndirectProbe;
+    std::uint64_t sequence = 0;
+    Endpoint subject;
+    Gossip gossip;
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(sequence, subject, gossip); }
+};
+
+/// News that wants no answer.
+struct Notice {
+    static constexpr MessageType type = MessageType::Notice;
+    Gossip gossip;
+    template <typename Archive>
+    void serialize(Archive& archive) { archive(gossip); }
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Peer/PeerConnection.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "../Core/Endpoint.h"
+#include "Frame.h"
+#include "SilenceDetector.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pimentopoint {
+
+/// Number of a connection, never used twice in a process.
+PP_STRONG_TYPE(ConnectionId, std::uint64_t);
+/// What the sender of a frame knows it by, should it not leave.
+PP_STRONG_TYPE(FrameTag, std::uint64_t);
+
+/// \class PeerConnection
+/// \ingroup Peer
+/// \brief One TCP connection that carries frames; all its work runs on one strand.
+class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
+public:
+    using Pointer = std::shared_ptr<PeerConnection>;
+    using FrameHook = std::function<void(const Pointer&, const Frame&)>;
+    /// Called once when the connection ends; \c unsent lists the frames of which no byte left.
+    using ClosedHook = std::function<void(const Pointer&, const std::vector<FrameTag>& unsent)>;
+
+    PeerConnection(boost::asio::io_context& context, FrameHook onFrame, ClosedHook onClosed);
+
+    ConnectionId id() const { return m_id; }
+    boost::asio::ip::tcp::socket& socket() { return m_socket; }
+
+    /// Starts on a socket that was accepted.
+    void startAccepted();
+    /// Connects to \a endpoint; frames sent meanwhile wait.
+    void startConnect(const Endpoint& endpoint, Duration timeout);
+    /// Queues \a bytes, a whole frame.
+    void send(std::string bytes, FrameTag tag = FrameTag(0));
+    void close();
+    /// Sends a heartbeat or closes the connection, as the silence on it asks.
+    void checkSilence(Instant now);
+
+private:
+    struct Outgoing {
+        std::string bytes;
+        FrameTag tag;
+    };
+
+    void readHeader();
+    void readBody(std::size_t length);
+    void handleBody();
+    void write();
+    void closeOnStrand();
+    void configureSocket();
+
+    boost::asio::io_context& m_context;
+    boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
+    boost::asio::ip::tcp::socket m_socket;
+    FrameHook m_onFrame;
+    ClosedHook m_onClosed;
+    ConnectionId m_id;
+    std::string m_header;
+    std::string m_body;
+    std::deque<Outgoing> m_queue;
+    std::vector<Outgoing> m_writing;
+    SilenceDetector m_silence;
+    std::uint64_t m_heartbeats = 0;
+    bool m_connected = false;
+    bool m_closed = false;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Peer/PeerLinks.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "PeerConnection.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace pimentopoint {
+
+/// \class PeerLinks
+/// \ingroup Peer
+/// \brief Outgoing connections, one for each endpoint, opened when first used and again after a loss.
+class PeerLinks {
+public:
+    using LostHook = std::function<void(ConnectionId, const std::vector<FrameTag>& unsent)>;
+
+    PeerLinks(boost::asio::io_context& context, PeerConnection::FrameHook onFrame, LostHook onLost);
+
+    /// Sends a frame to \a endpoint.
+    /// \returns the connection that carries it; if the frame does not leave, the lost hook gets \a tag
+    ConnectionId send(const Endpoint& endpoint, std::string bytes, FrameTag tag = FrameTag(0));
+    /// \returns the connection that the next frame to \a endpoint takes
+    ConnectionId connection(const Endpoint& endpoint) { return open(endpoint)->id(); }
+    /// Starts the periodic check for silent connections.
+    void start();
+    void stop();
+
+private:
+    PeerConnection::Pointer open(const Endpoint& endpoint);
+    void forget(const PeerConnection::Pointer& connection);
+    void checkSilence();
+
+    boost::asio::io_context& m_context;
+    PeerConnection::FrameHook m_onFrame;
+    LostHook m_onLost;
+    boost::asio::steady_timer m_timer;
+    std::mutex m_mutex;
+    std::map<Endpoint, PeerConnection::Pointer> m_connections;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Peer/PeerServer.cpp
@@ -0,0 +1,35 @@
+#include "PeerServer.h"
+
+namespace pimentopoint {
+
+using boost::asio::ip::tcp;
+
+PeerServer::PeerServer(boost::asio::io_context& context, const Endpoint& endpoint, PeerConnection::FrameHook onFrame, PeerConnection::ClosedHook onClosed)
+    : m_context(context)
+    , m_acceptor(boost::asio::make_strand(context), tcp::endpoint(boost::asio::ip::make_address_v4(endpoint.address()), endpoint.port()))
+    , m_onFrame(std::move(onFrame))
+    , m_onClosed(std::move(onClosed))
+{
+}
+
+void PeerServer::start()
+{
+    auto connection = std::make_shared<PeerConnection>(m_context, m_onFrame, m_onClosed);
+    m_acceptor.async_accept(connection->socket(), [this, connection](const boost::system::error_code& error) {
+        if (error == boost::asio::error::operation_aborted || !m_acceptor.is_open())
+            return;
+        if (!error)
+            connection->startAccepted();
+        start();
+    });
+}
+
+void PeerServer::stop()
+{
+    boost::asio::post(m_acceptor.get_executor(), [this] {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+    });
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Peer/Versions.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "../Core/Ids.h"
+
+#include <algorithm>
+
+namespace pimentopoint {
+
+/// \class Versions
+/// \ingroup Peer
+/// \brief The versions and digests of the published documents that a process has in force.
+/// \details Rides on every message between processes. Version 0 stands for none.
+class Versions {
+public:
+    Versions() = default;
+    Versions(ConfigurationVersion configuration, Digest configurationDigest, HostListVersion hosts, Digest hostsDigest)
+        : m_configuration(configuration)
+        , m_configurationDigest(configurationDigest)
+        , m_hosts(hosts)
+        , m_hostsDigest(hostsDigest)
+    {
+    }
+
+    ConfigurationVersion configuration() const { return m_configuration; }
+    Digest configurationDigest() const { return m_configurationDigest; }
+    HostListVersion hosts() const { return m_hosts; }
+    Digest hostsDigest() const { return m_hostsDigest; }
+
+    /// \returns whether either document is newer here than in \a other
+    bool newerThan(const Versions& other) const
+    {
+        return m_configuration > other.m_configuration || m_hosts > other.m_hosts;
+    }
+    /// \returns whether both hold the same version of a document with different content
+    bool conflictsWith(const Versions& other) const
+    {
+        bool configurationDiffers = m_configuration == other.m_configuration && m_configurationDigest != other.m_configurationDigest;
+        bool hostsDiffer = m_hosts == other.m_hosts && m_hostsDigest != other.m_hostsDigest;
+        return configurationDiffers || hostsDiffer;
+    }
+
+    bool operator==(const Versions&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_configuration, m_configurationDigest, m_hosts, m_hostsDigest);
+    }
+
+private:
+    ConfigurationVersion m_configuration;
+    Digest m_configurationDigest;
+    HostListVersion m_hosts;
+    Digest m_hostsDigest;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Platform/PlatformWatch.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "../Core/Clock.h"
+#include "../Core/Random.h"
+#include "../Peer/Messages.h"
+
+#include <array>
+#include <cstddef>
+#include <vector>
+
+namespace pimentopoint {
+
+/// Intervals of reads from the platform.
+struct PlatformTiming {
+    std::size_t watchersPerDataCentre = 2; ///< Members of a data centre that hold a watch.
+    Duration watchWait = std::chrono::seconds(2); ///< For which the platform holds a watch open.
+    Duration startSpread = std::chrono::seconds(1); ///< Over which first reads are spread.
+    Duration fallbackInterval = std::chrono::seconds(30); ///< Between reads of those who do not watch.
+    Duration firstRetry = std::chrono::milliseconds(250); ///< Largest delay before the first retry.
+    Duration longestRetry = std::chrono::seconds(4); ///< Largest delay of a watcher's retry.
+};
+
+/// A read that is due; with \c wait 0 the platform answers at once.
+struct PlatformRead {
+    DocumentKind kind = DocumentKind::Configuration;
+    Duration wait { 0 };
+};
+
+/// \class PlatformWatch
+/// \ingroup Platform
+/// \brief Decides when this process reads from the platform.
+/// \details A constant number of members per data centre watches; the others read at long, jittered intervals.
+/// Retries after a failure back off with full jitter, so that an outage ends without a burst.
+class PlatformWatch {
+public:
+    enum class Result {
+        Newer,
+        Unchanged,
+        Failed,
+    };
+
+    PlatformWatch(PlatformTiming timing, std::uint64_t seed, Instant now);
+
+    /// \brief Marks the reads that are due as begun and returns them.
+    /// \param watcher whether this process is one of those that watch
+    std::vector<PlatformRead> begin(Instant now, bool watcher);
+    /// Notes the end of a read.
+    void finish(DocumentKind kind, Result result, Instant now, bool watcher);
+
+    /// \returns whether \a self is among the watchers of its data centre, given the usable \a members of the fleet
+    static bool isWatcher(const MemberRecord& self, const std::vector<MemberRecord>& members, std::size_t watchers);
+
+private:
+    struct Slot {
+        Instant due;
+        bool running = false;
+        unsigned failures = 0;
+    };
+
+    Duration jittered(Duration longest) { return Duration(static_cast<Duration::rep>(m_random.fraction() * static_cast<double>(longest.count()))); }
+
+    PlatformTiming m_timing;
+    Random m_random;
+    std::array<Slot, 2> m_slots;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Target/ColdRamp.cpp
@@ -0,0 +1,159 @@
+#include "ColdRamp.h"
+
+#include <algorithm>
+
+namespace pimentopoint {
+
+namespace {
+
+    /// Longest time for which a target is taken to be cold while it serves without trouble.
+    constexpr Duration coldTime = std::chrono::seconds(5);
+    /// A service time beyond so many times the usual one is a sign of a cold target.
+    constexpr int slowFactor = 3;
+    /// Service times that differ by less are never told apart.
+    constexpr Duration slowFloor = std::chrono::milliseconds(4);
+    /// Unusual replies in a row that turn doubt into a cold start.
+    constexpr unsigned unusualRepliesForCold = 2;
+    /// Weight of a new service time in the average, as one part in so many.
+    constexpr int averageWeight = 16;
+
+} // namespace
+
+std::uint32_t ColdRamp::limit(const Share& share) const
+{
+    switch (m_state) {
+    case State::Warm:
+        return share.slots();
+    case State::Ramping:
+        return std::clamp(m_rampLimit, share.coldLimit(), share.slots());
+    case State::Cold:
+    case State::Doubted:
+        break;
+    }
+    return share.coldLimit();
+}
+
+WarmthHint ColdRamp::warmth() const
+{
+    if (m_state != State::Warm)
+        return {};
+    return { m_incarnation, static_cast<std::uint32_t>(m_serviceTime.count()) };
+}
+
+bool ColdRamp::usual(Duration serviceTime, Duration usualTime) const
+{
+    return serviceTime <= std::max(usualTime * slowFactor, usualTime + slowFloor);
+}
+
+void ColdRamp::becomeCold(Instant now)
+{
+    m_state = State::Cold;
+    m_since = now;
+    m_servingSince.reset();
+    m_hint = {};
+}
+
+void ColdRamp::doubt(Instant now)
+{
+    if (m_state == State::Cold) {
+        // A cold target in trouble starts its cold time anew.
+        m_servingSince.reset();
+        return;
+    }
+    if (m_state == State::Doubted)
+        return;
+    m_stateBeforeDoubt = m_state;
+    m_state = State::Doubted;
+    m_since = now;
+    m_unusualInDoubt = 0;
+}
+
+void ColdRamp::learn(Duration serviceTime)
+{
+    if (!m_serviceTime.count())
+        m_serviceTime = serviceTime;
+    else
+        m_serviceTime += (serviceTime - m_serviceTime) / averageWeight;
+}
+
+void ColdRamp::hint(const WarmthHint& hint)
+{
+    if (m_state == State::Cold && hint.incarnation.value())
+        m_hint = hint;
+}
+
+void ColdRamp::settleDoubt(bool asUsual, Instant now)
+{
+    if (asUsual) {
+        m_state = m_stateBeforeDoubt;
+        m_since = now;
+        return;
+    }
+    if (++m_unusualInDoubt >= unusualRepliesForCold)
+        becomeCold(now);
+}
+
+void ColdRamp::advance(Instant now)
+{
+    if (m_state == State::Cold) {
+        if (!m_servingSince)
+            m_servingSince = now;
+        if (now - *m_servingSince < coldTime)
+            return;
+        m_state = State::Ramping;
+        m_rampLimit = 1;
+        m_roundReplies = 0;
+        return;
+    }
+    if (m_state != State::Ramping || ++m_roundReplies < m_rampLimit)
+        return;
+    constexpr std::uint32_t fullLimit = 1024;
+    m_roundReplies = 0;
+    m_rampLimit *= 2;
+    if (m_rampLimit >= fullLimit)
+        m_state = State::Warm;
+}
+
+void ColdRamp::replied(Incarnation incarnation, Duration serviceTime, Instant sentAt, Instant now)
+{
+    bool restarted = m_incarnation.value() && incarnation != m_incarnation;
+    m_incarnation = incarnation;
+    if (restarted && m_state != State::Cold)
+        becomeCold(now);
+    if (m_state == State::Cold) {
+        bool proven = m_hint.incarnation == incarnation && m_hint.incarnation.value()
+            && usual(serviceTime, Duration(m_hint.serviceTime));
+        if (proven) {
+            m_state = State::Warm;
+            m_serviceTime = Duration(m_hint.serviceTime);
+        }
+        // While a target is cold its average follows it down to the warm value.
+        if (!m_serviceTime.count() || serviceTime < m_serviceTime)
+            m_serviceTime = serviceTime;
+        return advance(now);
+    }
+    bool asUsual = usual(serviceTime, m_serviceTime);
+    if (m_state == State::Doubted) {
+        if (sentAt >= m_since)
+            settleDoubt(asUsual, now);
+        return;
+    }
+    if (!asUsual)
+        return doubt(now);
+    learn(serviceTime);
+    advance(now);
+}
+
+void ColdRamp::shed(Instant sentAt, Instant now)
+{
+    if (m_state == State::Doubted && sentAt >= m_since)
+        return settleDoubt(false, now);
+    doubt(now);
+}
+
+void ColdRamp::connectionLost(Instant now)
+{
+    doubt(now);
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Target/ColdRamp.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "../Core/Clock.h"
+#include "../Peer/Messages.h"
+#include "Share.h"
+
+#include <optional>
+
+namespace pimentopoint {
+
+/// \class ColdRamp
+/// \ingroup Target
+/// \brief Limits the concurrent work of one gateway at one target by what the target's replies prove.
+/// \details
+/// - Cold: the cold limit holds. It ends after \c coldTime of service without a sign of trouble, or at once with the
+///   first reply that matches a hint: same incarnation, usual service time.
+/// - Ramping: the limit doubles with each round of replies up to the share.
+/// - Warm: the whole share.
+/// - Doubted: a slow reply, a lost connection or a shed request; the cold limit holds until a reply to a request sent
+///   since is as usual (back to what was before) or several are not (cold).
+class ColdRamp {
+public:
+    enum class State {
+        Cold,
+        Ramping,
+        Warm,
+        Doubted,
+    };
+
+    explicit ColdRamp(Instant now)
+        : m_since(now)
+    {
+    }
+
+    State state() const { return m_state; }
+    /// \returns the most requests that may be at work at the target now
+    std::uint32_t limit(const Share& share) const;
+    /// \returns evidence for other gateways; empty unless warm
+    WarmthHint warmth() const;
+    /// \returns the usual service time; 0 before the first reply
+    Duration serviceTime() const { return m_serviceTime; }
+
+    /// Takes evidence from another gateway's time with the target.
+    void hint(const WarmthHint& hint);
+    /// A reply to a request sent at \a sentAt.
+    void replied(Incarnation incarnation, Duration serviceTime, Instant sentAt, Instant now);
+    /// The target refused a request because it had too much to do.
+    void shed(Instant sentAt, Instant now);
+    /// A connection broke, was replaced or went silent.
+    void connectionLost(Instant now);
+
+private:
+    bool usual(Duration serviceTime, Duration usualTime) const;
+    void becomeCold(Instant now);
+    void doubt(Instant now);
+    void learn(Duration serviceTime);
+    void settleDoubt(bool asUsual, Instant now);
+    void advance(Instant now);
+
+    State m_state = State::Cold;
+    State m_stateBeforeDoubt = State::Cold;
+    Instant m_since;
+    std::optional<Instant> m_servingSince;
+    std::uint32_t m_rampLimit = 0;
+    std::uint32_t m_roundReplies = 0;
+    unsigned m_unusualInDoubt = 0;
+    Incarnation m_incarnation;
+    Duration m_serviceTime { 0 };
+    WarmthHint m_hint;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Target/GatewayEngine.cpp
@@ -0,0 +1,272 @@
+#include "GatewayEngine.h"
+
+namespace pimentopoint {
+
+namespace {
+
+    /// Time until a change of configuration is in force everywhere; a former owner has stopped by then.
+    constexpr Duration configurationSpread = std::chrono::seconds(11);
+
+} // namespace
+
+GatewayEngine::GatewayEngine(MemberName self, DataCentreName dataCentre, Hooks hooks, Instant start)
+    : m_self(std::move(self))
+    , m_dataCentre(std::move(dataCentre))
+    , m_hooks(std::move(hooks))
+    , m_start(start)
+{
+}
+
+GatewayEngine::State GatewayEngine::state() const
+{
+    std::lock_guard lock(m_stateMutex);
+    return m_state;
+}
+
+NotRunReason GatewayEngine::obstacle(const State& state, TargetId target) const
+{
+    if (!state.serving)
+        return state.closedReason;
+    const Configuration& configuration = *state.documents.configuration;
+    if (configuration.takenOut(m_dataCentre))
+        return NotRunReason::TakenOut;
+    if (state.documents.hosts && state.documents.hosts->leaving(target))
+        return NotRunReason::Leaving;
+    if (state.shares->share(target, m_self).empty())
+        return NotRunReason::NotOwner;
+    return NotRunReason::None;
+}
+
+void GatewayEngine::setDocuments(const DocumentStore::InForce& documents, Instant now)
+{
+    if (!documents.configuration)
+        return;
+    State updated;
+    {
+        std::lock_guard lock(m_stateMutex);
+        if (!m_state.shares || m_state.documents.configuration != documents.configuration)
+            m_state.shares = std::make_shared<const ShareTable>(*documents.configuration);
+        m_state.documents = documents;
+        updated = m_state;
+    }
+    for (const Target& target : documents.configuration->targets()) {
+        if (target.dataCentre() == m_dataCentre)
+            updateLane(updated, target, now);
+    }
+    for (Part& shard : m_parts) {
+        std::vector<std::pair<TargetId, LaneActions>> removed;
+        {
+            std::lock_guard lock(shard.mutex);
+            for (auto& [id, lane] : shard.lanes) {
+                if (documents.configuration->target(id))
+                    continue;
+                removed.emplace_back(id, LaneActions());
+                lane.setShare({}, now, Duration(0), removed.back().second);
+            }
+        }
+        for (const auto& [id, actions] : removed)
+            perform(id, actions);
+    }
+}
+
+void GatewayEngine::updateLane(const State& state, const Target& target, Instant now)
+{
+    Share share = state.shares->share(target.id(), m_self);
+    NotRunReason reason = obstacle(state, target.id());
+    Duration longestDeadline = state.documents.configuration->longestDeadline();
+    LaneActions actions;
+    {
+        Part& shard = part(target.id());
+        std::lock_guard lock(shard.mutex);
+        auto found = shard.lanes.find(target.id());
+        if (found == shard.lanes.end()) {
+            if (share.empty())
+                return;
+            // At the start of the process no share was gained from anyone: only work of its former self may remain.
+            Instant openAt = m_start + longestDeadline;
+            found = shard.lanes.emplace(target.id(), TargetLane(target.id(), target.endpoint(), now, openAt)).first;
+            bool atStart = now - m_start < configurationSpread;
+            found->second.setShare(share, now, atStart ? Duration(0) : configurationSpread + longestDeadline, actions);
+        } else {
+            found->second.setEndpoint(target.endpoint());
+            found->second.setShare(share, now, configurationSpread + longestDeadline, actions);
+        }
+        if (reason != NotRunReason::None)
+            found->second.refuseWaiting(reason, actions);
+    }
+    perform(target.id(), actions);
+}
+
+void GatewayEngine::setServing(bool serving, NotRunReason reason, Instant now)
+{
+    {
+        std::lock_guard lock(m_stateMutex);
+        bool canServe = m_state.documents.configuration != nullptr;
+        m_state.serving = serving && canServe;
+        if (!serving)
+            m_state.closedReason = reason;
+    }
+    if (!serving)
+        refuseAllWaiting(reason);
+    else
+        tick(now);
+}
+
+void GatewayEngine::refuseAllWaiting(NotRunReason reason)
+{
+    for (Part& shard : m_parts) {
+        std::vector<std::pair<TargetId, LaneActions>> refused;
+        {
+            std::lock_guard lock(shard.mutex);
+            for (auto& [id, lane] : shard.lanes) {
+                refused.emplace_back(id, LaneActions());
+                lane.refuseWaiting(reason, refused.back().second);
+            }
+        }
+        for (const auto& [id, actions] : refused)
+            perform(id, actions);
+    }
+}
+
+void GatewayEngine::noticePause(Instant now)
+{
+    {
+        std::lock_guard lock(m_pauseMutex);
+        if (!m_pauses.tick(now))
+            return;
+    }
+    {
+        std::lock_guard lock(m_stateMutex);
+        if (m_state.closedReason != NotRunReason::Stopping)
+            m_state.closedReason = NotRunReason::Stale;
+        m_state.serving = false;
+    }
+    refuseAllWaiting(NotRunReason::Stale);
+    m_hooks.paused();
+}
+
+void GatewayEngine::refuse(const AttemptId& attempt, NotRunReason reason)
+{
+    SubReply reply;
+    reply.attempt = attempt.number();
+    reply.outcome = Outcome::NotRun;
+    reply.notRun = reason;
+    m_hooks.reply(attempt, std::move(reply));
+}
+
+void GatewayEngine::submit(const SearchBatch& batch, Instant now)
+{
+    noticePause(now);
+    State current = state();
+    auto context = std::make_shared<const SubQueryContext>(SubQueryContext { batch.snapshot, batch.urgency, batch.repeatable, batch.text });
+    Instant deadline = now + std::min(Duration(static_cast<Duration::rep>(batch.remaining)), maxDeadline);
+    for (const SubQuery& sub : batch.parts) {
+        AttemptId attempt(batch.sender, sub.attempt);
+        NotRunReason reason = obstacle(current, sub.target);
+        LaneActions actions;
+        bool taken = false;
+        if (reason == NotRunReason::None) {
+            Part& shard = part(sub.target);
+            std::lock_guard lock(shard.mutex);
+            auto lane = shard.lanes.find(sub.target);
+            taken = lane != shard.lanes.end();
+            if (taken)
+                lane->second.submit({ attempt, sub.target, sub.range, deadline, context }, sub.hint, now, actions);
+        }
+        if (taken)
+            perform(sub.target, actions);
+        else
+            refuse(attempt, reason == NotRunReason::None ? NotRunReason::NotOwner : reason);
+    }
+}
+
+void GatewayEngine::complete(const ExchangeResult& result, Instant now)
+{
+    noticePause(now);
+    LaneActions actions;
+    {
+        Part& shard = part(result.target);
+        std::lock_guard lock(shard.mutex);
+        auto lane = shard.lanes.find(result.target);
+        if (lane == shard.lanes.end())
+            return;
+        lane->second.complete(result, now, actions);
+    }
+    perform(result.target, actions);
+}
+
+void GatewayEngine::cancel(const CancelBatch& batch, Instant now)
+{
+    noticePause(now);
+    for (Part& shard : m_parts) {
+        std::vector<std::pair<TargetId, LaneActions>> cancelled;
+        {
+            std::lock_guard lock(shard.mutex);
+            for (auto& [id, lane] : shard.lanes) {
+                if (lane.idle())
+                    continue;
+                cancelled.emplace_back(id, LaneActions());
+                for (std::uint64_t number : batch.attempts)
+                    lane.cancel(AttemptId(batch.sender, number), cancelled.back().second);
+            }
+        }
+        for (const auto& [id, actions] : cancelled)
+            perform(id, actions);
+    }
+}
+
+void GatewayEngine::tick(Instant now)
+{
+    noticePause(now);
+    for (Part& shard : m_parts) {
+        std::vector<std::pair<TargetId, LaneActions>> due;
+        {
+            std::lock_guard lock(shard.mutex);
+            for (auto& [id, lane] : shard.lanes) {
+                due.emplace_back(id, LaneActions());
+                lane.tick(now, due.back().second);
+            }
+        }
+        for (const auto& [id, actions] : due)
+            perform(id, actions);
+    }
+}
+
+void GatewayEngine::perform(TargetId target, const LaneActions& actions)
+{
+    for (const Dispatch& dispatch : actions.dispatches)
+        m_hooks.dispatch(dispatch);
+    for (const AttemptId& attempt : actions.cancels)
+        m_hooks.cancel(target, attempt);
+    for (const LaneActions::Finished& finished : actions.finished)
+        m_hooks.reply(finished.attempt, finished.reply);
+}
+
+bool GatewayEngine::idle() const
+{
+    for (const Part& shard : m_parts) {
+        std::lock_guard lock(shard.mutex);
+        for (const auto& [id, lane] : shard.lanes) {
+            if (!lane.idle())
+                return false;
+        }
+    }
+    return true;
+}
+
+std::vector<GatewayEngine::LaneStatus> GatewayEngine::status() const
+{
+    State current = state();
+    std::vector<LaneStatus> all;
+    for (const Part& shard : m_parts) {
+        std::lock_guard lock(shard.mutex);
+        for (const auto& [id, lane] : shard.lanes) {
+            const Target* target = current.documents.configuration->target(id);
+            TargetName name = target ? target->name() : TargetName("removed");
+            all.push_back({ name, lane.share(), lane.ramp().state(), lane.waiting(), lane.atWork(), lane.ramp().serviceTime() });
+        }
+    }
+    return all;
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Target/TargetClient.cpp
@@ -0,0 +1,278 @@
+#include "TargetClient.h"
+
+#include "../Core/util/Constants.h"
+#include "TargetProtocol.h"
+
+#include <algorithm>
+#include <cstring>
+#include <curl/curl.h>
+
+namespace pimentopoint {
+
+namespace {
+
+    constexpr Duration connectTimeout = std::chrono::milliseconds(250);
+    constexpr Duration cancelTimeout = std::chrono::milliseconds(200);
+    constexpr int pollTimeoutMilliseconds = 1000;
+    /// Idle easy handles that are kept for reuse.
+    constexpr std::size_t maxIdleHandles = 512;
+    constexpr long maxOpenConnections = 8192;
+
+    long ceilMilliseconds(Duration duration)
+    {
+        return std::max(1L, static_cast<long>(std::chrono::ceil<std::chrono::milliseconds>(duration).count()));
+    }
+
+} // namespace
+
+struct TargetClient::Transfer {
+    CURL* easy = nullptr;
+    bool search = true;
+    Dispatch dispatch;
+    std::string request;
+    std::size_t requestOffset = 0;
+    std::string reply;
+
+    static std::size_t readRequest(char* buffer, std::size_t size, std::size_t count, void* context)
+    {
+        auto& transfer = *static_cast<Transfer*>(context);
+        std::size_t length = std::min(size * count, transfer.request.size() - transfer.requestOffset);
+        std::memcpy(buffer, transfer.request.data() + transfer.requestOffset, length);
+        transfer.requestOffset += length;
+        return length;
+    }
+    /// libcurl sends a request again by itself when a reused connection ends; a body that cannot be read twice stops it.
+    static int refuseRewind(void*, curl_off_t, int) { return CURL_SEEKFUNC_FAIL; }
+    static std::size_t appendReply(char* data, std::size_t size, std::size_t count, void* context)
+    {
+        auto& transfer = *static_cast<Transfer*>(context);
+        if (transfer.reply.size() + size * count > maxTargetReplyBytes)
+            return 0;
+        transfer.reply.append(data, size * count);
+        return size * count;
+    }
+};
+
+struct TargetClient::Multi {
+    Multi()
+        : handle(curl_multi_init())
+        , headers(curl_slist_append(curl_slist_append(nullptr, "Content-Type: application/json"), "Expect:"))
+    {
+        curl_multi_setopt(handle, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+        curl_multi_setopt(handle, CURLMOPT_MAXCONNECTS, maxOpenConnections);
+    }
+    ~Multi()
+    {
+        for (CURL* easy : idle)
+            curl_easy_cleanup(easy);
+        curl_multi_cleanup(handle);
+        curl_slist_free_all(headers);
+    }
+    Multi(const Multi&) = delete;
+    Multi& operator=(const Multi&) = delete;
+
+    CURL* take()
+    {
+        if (idle.empty())
+            return curl_easy_init();
+        CURL* easy = idle.back();
+        idle.pop_back();
+        curl_easy_reset(easy);
+        return easy;
+    }
+    void giveBack(CURL* easy)
+    {
+        if (idle.size() < maxIdleHandles)
+            idle.push_back(easy);
+        else
+            curl_easy_cleanup(easy);
+    }
+
+    CURLM* handle;
+    curl_slist* headers;
+    std::vector<CURL*> idle;
+};
+
+TargetClient::TargetClient(ResultHook onResult)
+    : m_onResult(std::move(onResult))
+    , m_multi(std::make_unique<Multi>())
+    , m_thread([this] { run(); })
+{
+}
+
+TargetClient::~TargetClient()
+{
+    stop();
+}
+
+void TargetClient::stop()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    curl_multi_wakeup(m_multi->handle);
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void TargetClient::dispatch(const Dispatch& dispatch)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_dispatches.push_back(dispatch);
+    }
+    curl_multi_wakeup(m_multi->handle);
+}
+
+void TargetClient::cancel(const AttemptId& attempt)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_cancels.push_back(attempt);
+    }
+    curl_multi_wakeup(m_multi->handle);
+}
+
+void TargetClient::run()
+{
+    for (;;) {
+        {
+            std::lock_guard lock(m_mutex);
+            if (m_stopping)
+                break;
+        }
+        takeOrders();
+        int running = 0;
+        curl_multi_perform(m_multi->handle, &running);
+        finishDone();
+        bool ordersWait = false;
+        {
+            std::lock_guard lock(m_mutex);
+            ordersWait = !m_dispatches.empty() || !m_cancels.empty();
+        }
+        if (!ordersWait)
+            curl_multi_poll(m_multi->handle, nullptr, 0, pollTimeoutMilliseconds, nullptr);
+    }
+    for (auto& [easy, transfer] : m_transfers) {
+        curl_multi_remove_handle(m_multi->handle, transfer->easy);
+        curl_easy_cleanup(transfer->easy);
+    }
+    m_transfers.clear();
+}
+
+void TargetClient::takeOrders()
+{
+    std::vector<Dispatch> dispatches;
+    std::vector<AttemptId> cancels;
+    {
+        std::lock_guard lock(m_mutex);
+        dispatches.swap(m_dispatches);
+        cancels.swap(m_cancels);
+    }
+    for (const Dispatch& dispatch : dispatches)
+        startSearch(dispatch);
+    for (const AttemptId& attempt : cancels)
+        startCancel(attempt);
+}
+
+void TargetClient::startSearch(const Dispatch& dispatch)
+{
+    auto transfer = std::make_unique<Transfer>();
+    transfer->dispatch = dispatch;
+    transfer->request = searchBody(dispatch);
+    m_searching.emplace(dispatch.attempt, dispatch.endpoint);
+    start(std::move(transfer));
+}
+
+void TargetClient::startCancel(const AttemptId& attempt)
+{
+    auto found = m_searching.find(attempt);
+    if (found == m_searching.end())
+        return;
+    // One cancellation at a time per target keeps within the connections that are set aside for it.
+    unsigned& cancelling = m_cancelling[found->second];
+    if (cancelling)
+        return;
+    ++cancelling;
+    auto transfer = std::make_unique<Transfer>();
+    transfer->search = false;
+    transfer->dispatch.endpoint = found->second;
+    transfer->dispatch.remaining = cancelTimeout;
+    transfer->dispatch.silence = cancelTimeout;
+    transfer->request = cancelBody(attempt);
+    start(std::move(transfer));
+}
+
+void TargetClient::start(std::unique_ptr<Transfer> transfer)
+{
+    CURL* easy = m_multi->take();
+    transfer->easy = easy;
+    const Dispatch& dispatch = transfer->dispatch;
+    std::string url = "http://" + dispatch.endpoint.text() + (transfer->search ? "/v1/search" : "/v1/cancel");
+    Duration limit = std::min(dispatch.remaining, dispatch.silence);
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, m_multi->headers);
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->request.size()));
+    curl_easy_setopt(easy, CURLOPT_READFUNCTION, Transfer::readRequest);
+    curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, Transfer::refuseRewind);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, Transfer::appendReply);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ceilMilliseconds(limit));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ceilMilliseconds(std::min(limit, connectTimeout)));
+    curl_multi_add_handle(m_multi->handle, easy);
+    m_transfers.emplace(easy, std::move(transfer));
+}
+
+void TargetClient::finishDone()
+{
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(m_multi->handle, &left)) {
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        CURL* easy = message->easy_handle;
+        int code = message->data.result;
+        auto found = m_transfers.find(easy);
+        std::unique_ptr<Transfer> transfer = std::move(found->second);
+        m_transfers.erase(found);
+        finish(*transfer, code);
+        curl_multi_remove_handle(m_multi->handle, easy);
+        m_multi->giveBack(easy);
+    }
+}
+
+void TargetClient::finish(Transfer& transfer, int code)
+{
+    const Dispatch& dispatch = transfer.dispatch;
+    if (!transfer.search) {
+        --m_cancelling[dispatch.endpoint];
+        return;
+    }
+    m_searching.erase(dispatch.attempt);
+    ExchangeResult result;
+    result.attempt = dispatch.attempt;
+    result.target = dispatch.target;
+    long connects = 0;
+    long status = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &connects);
+    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+    result.newConnection = connects > 0;
+    if (code == CURLE_OK)
+        result.end = readTargetReply(dispatch, status, transfer.reply, result.reply);
+    else if (!transfer.requestOffset)
+        result.end = ExchangeEnd::NotConnected; // The body was never read, so none of it left.
+    else if (code == CURLE_OPERATION_TIMEDOUT)
+        result.end = dispatch.silence < dispatch.remaining ? ExchangeEnd::ConnectionLost : ExchangeEnd::TimedOut;
+    else if (code == CURLE_WRITE_ERROR || code == CURLE_PARTIAL_FILE)
+        result.end = ExchangeEnd::InvalidReply;
+    else
+        result.end = ExchangeEnd::ConnectionLost;
+    m_onResult(result);
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Target/TargetLane.cpp
@@ -0,0 +1,246 @@
+#include "TargetLane.h"
+
+#include <algorithm>
+
+namespace pimentopoint {
+
+namespace {
+
+    /// Service time assumed before the first reply.
+    constexpr Duration unknownServiceTime = std::chrono::milliseconds(1);
+    /// Bounds of the time for which a slot stays taken after an exchange whose work may go on.
+    constexpr Duration shortestQuarantine = std::chrono::milliseconds(20);
+    /// Shortest time without a reply that is taken for a silent connection.
+    constexpr Duration shortestSilence = std::chrono::milliseconds(100);
+    /// A connection is silent after so many usual service times.
+    constexpr int silenceFactor = 10;
+    /// Most sub-queries that wait for one target.
+    constexpr std::size_t maxWaiting = 4096;
+
+    Share smaller(const Share& a, const Share& b)
+    {
+        return { std::min(a.slots(), b.slots()), std::min(a.coldLimit(), b.coldLimit()), std::min(a.connections(), b.connections()) };
+    }
+
+} // namespace
+
+TargetLane::TargetLane(TargetId target, Endpoint endpoint, Instant now, Instant openAt)
+    : m_target(target)
+    , m_endpoint(std::move(endpoint))
+    , m_openAt(openAt)
+    , m_ramp(now)
+{
+}
+
+void TargetLane::setShare(const Share& share, Instant now, Duration settle, LaneActions& actions)
+{
+    if (share == m_share) {
+        m_pendingShare.reset();
+        return;
+    }
+    if (m_pendingShare && *m_pendingShare == share)
+        return;
+    m_share = smaller(m_share, share);
+    m_pendingShare = share;
+    m_pendingShareAt = std::max(now + settle, m_openAt);
+    if (share.empty())
+        refuseWaiting(NotRunReason::NotOwner, actions);
+}
+
+void TargetLane::applyPendingShare(Instant now)
+{
+    if (!m_pendingShare || now < m_pendingShareAt)
+        return;
+    m_share = *m_pendingShare;
+    m_pendingShare.reset();
+}
+
+void TargetLane::endQuarantines(Instant now)
+{
+    std::erase_if(m_quarantine, [&](Instant end) { return end <= now; });
+}
+
+std::uint32_t TargetLane::limit() const
+{
+    // Beyond the open connections, one is opened at a time.
+    return std::min(m_ramp.limit(m_share), m_connections + 1);
+}
+
+bool TargetLane::meetsDeadline(const Work& work, Instant now) const
+{
+    std::uint32_t reachable = std::max(m_ramp.limit(m_share), 1U);
+    Duration serviceTime = std::max(m_ramp.serviceTime(), unknownServiceTime);
+    std::size_t ahead = m_queue.ahead(work.context->urgency) + atWork();
+    auto rounds = static_cast<Duration::rep>(ahead / reachable);
+    return now + serviceTime * rounds < work.deadline;
+}
+
+void TargetLane::submit(Work work, const WarmthHint& hint, Instant now, LaneActions& actions)
+{
+    applyPendingShare(now);
+    endQuarantines(now);
+    m_ramp.hint(hint);
+    if (work.deadline <= now)
+        return refuse(work.attempt, NotRunReason::Deadline, false, actions);
+    if (m_share.empty())
+        return refuse(work.attempt, now < m_openAt || m_pendingShare ? NotRunReason::Starting : NotRunReason::NotOwner, false, actions);
+    if (m_queue.size() >= maxWaiting || !meetsDeadline(work, now))
+        return refuse(work.attempt, NotRunReason::Shed, false, actions);
+    m_queue.push(std::move(work));
+    sendWaiting(now, actions);
+}
+
+void TargetLane::sendWaiting(Instant now, LaneActions& actions)
+{
+    while (atWork() < limit()) {
+        auto work = m_queue.pop();
+        if (!work)
+            return;
+        if (work->deadline <= now)
+            refuse(work->attempt, NotRunReason::Deadline, false, actions);
+        else
+            dispatch(std::move(*work), now, actions);
+    }
+}
+
+void TargetLane::dispatch(Work work, Instant now, LaneActions& actions)
+{
+    Duration remaining = work.deadline - now;
+    bool mayGiveUpEarly = work.context->repeatable && m_ramp.state() == ColdRamp::State::Warm;
+    Duration silence = std::max(shortestSilence, m_ramp.serviceTime() * silenceFactor);
+    Dispatch order { work.attempt, m_target, m_endpoint, work.range, work.context->snapshot, remaining,
+        mayGiveUpEarly ? std::min(silence, remaining) : remaining, work.context->text };
+    actions.dispatches.push_back(std::move(order));
+    AttemptId attempt = work.attempt;
+    m_inFlight.emplace(attempt, InFlight { std::move(work), now });
+}
+
+void TargetLane::refuse(const AttemptId& attempt, NotRunReason reason, bool reachedTarget, LaneActions& actions)
+{
+    SubReply reply;
+    reply.outcome = Outcome::NotRun;
+    reply.notRun = reason;
+    reply.reachedTarget = reachedTarget;
+    finish(attempt, std::move(reply), actions);
+}
+
+void TargetLane::finish(const AttemptId& attempt, SubReply reply, LaneActions& actions)
+{
+    reply.attempt = attempt.number();
+    reply.queued = static_cast<std::uint32_t>(m_queue.size() + atWork());
+    reply.cold = m_ramp.state() == ColdRamp::State::Cold;
+    reply.warmth = m_ramp.warmth();
+    actions.finished.push_back({ attempt, std::move(reply) });
+}
+
+SubReply TargetLane::replyFor(const ExchangeResult& result)
+{
+    SubReply reply;
+    reply.reachedTarget = result.end != ExchangeEnd::NotConnected;
+    switch (result.end) {
+    case ExchangeEnd::Replied:
+        reply.outcome = Outcome::Answered;
+        reply.snapshot = result.reply.snapshot;
+        reply.covered = result.reply.covered;
+        reply.hits = result.reply.hits;
+        break;
+    case ExchangeEnd::RefusedShed:
+        reply.notRun = NotRunReason::Shed;
+        break;
+    case ExchangeEnd::RefusedSnapshot:
+        reply.notRun = NotRunReason::SnapshotGone;
+        break;
+    case ExchangeEnd::RefusedLeaving:
+        reply.notRun = NotRunReason::Leaving;
+        break;
+    case ExchangeEnd::NotConnected:
+        reply.notRun = NotRunReason::Unreachable;
+        break;
+    case ExchangeEnd::ConnectionLost:
+        reply.outcome = Outcome::Unknown;
+        reply.unknown = UnknownReason::ConnectionLost;
+        break;
+    case ExchangeEnd::TimedOut:
+        reply.outcome = Outcome::Unknown;
+        reply.unknown = UnknownReason::Deadline;
+        break;
+    case ExchangeEnd::InvalidReply:
+        reply.outcome = Outcome::Unknown;
+        reply.unknown = UnknownReason::InvalidReply;
+        break;
+    }
+    return reply;
+}
+
+void TargetLane::noteEnd(const ExchangeResult& result, const InFlight& exchange, Instant now)
+{
+    if (result.newConnection)
+        m_connections = std::min(m_connections + 1, m_share.slots());
+    switch (result.end) {
+    case ExchangeEnd::Replied:
+        m_ramp.replied(result.reply.incarnation, now - exchange.sentAt, exchange.sentAt, now);
+        return;
+    case ExchangeEnd::RefusedShed:
+        m_ramp.shed(exchange.sentAt, now);
+        return;
+    case ExchangeEnd::RefusedSnapshot:
+    case ExchangeEnd::RefusedLeaving:
+        return;
+    case ExchangeEnd::NotConnected:
+        m_connections = 0;
+        m_ramp.connectionLost(now);
+        return;
+    case ExchangeEnd::ConnectionLost:
+    case ExchangeEnd::TimedOut:
+    case ExchangeEnd::InvalidReply:
+        break;
+    }
+    if (m_connections)
+        --m_connections;
+    m_ramp.connectionLost(now);
+    m_quarantine.push_back(now + std::max(shortestQuarantine, 2 * m_ramp.serviceTime()));
+}
+
+void TargetLane::complete(const ExchangeResult& result, Instant now, LaneActions& actions)
+{
+    auto found = m_inFlight.find(result.attempt);
+    if (found == m_inFlight.end())
+        return;
+    InFlight exchange = std::move(found->second);
+    m_inFlight.erase(found);
+    noteEnd(result, exchange, now);
+    if (!exchange.abandoned)
+        finish(result.attempt, replyFor(result), actions);
+    applyPendingShare(now);
+    endQuarantines(now);
+    sendWaiting(now, actions);
+}
+
+void TargetLane::cancel(const AttemptId& attempt, LaneActions& actions)
+{
+    if (m_queue.remove(attempt))
+        return;
+    auto found = m_inFlight.find(attempt);
+    if (found == m_inFlight.end() || found->second.abandoned)
+        return;
+    found->second.abandoned = true;
+    if (m_share.connections() > m_share.slots())
+        actions.cancels.push_back(attempt);
+}
+
+void TargetLane::tick(Instant now, LaneActions& actions)
+{
+    applyPendingShare(now);
+    endQuarantines(now);
+    for (const Work& work : m_queue.removeExpired(now))
+        refuse(work.attempt, NotRunReason::Deadline, false, actions);
+    sendWaiting(now, actions);
+}
+
+void TargetLane::refuseWaiting(NotRunReason reason, LaneActions& actions)
+{
+    for (const Work& work : m_queue.removeAll())
+        refuse(work.attempt, reason, false, actions);
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/daemons/Daemon.h
@@ -0,0 +1,47 @@
+/// \file
+/// What the daemons share: arguments, settings, log, signals.
+#pragma once
+
+#include <Pimentopoint/Core>
+#include <Pimentopoint/Operator>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+
+namespace pimentopoint {
+
+/// Exit codes of the daemons.
+enum ExitCode {
+    exitOk = 0,
+    exitFailed = 1, ///< It could not start or run.
+    exitUsage = 2, ///< The arguments are wrong.
+    exitInvalid = 3, ///< The settings are invalid.
+};
+
+/// \class StopSignal
+/// \brief Waits for SIGTERM or SIGINT; create it before any thread.
+class StopSignal {
+public:
+    StopSignal();
+    /// Blocks until a signal arrives.
+    void wait() const;
+    /// Ends wait() as the signal would.
+    static void raise();
+};
+
+/// \brief Blocks until \a condition holds, looking every few milliseconds.
+/// \returns false if it did not hold within \a limit
+bool waitUntil(const std::function<bool()>& condition, Duration limit);
+
+/// Blocks for \a duration.
+void pauseFor(Duration duration);
+
+/// \returns the incarnation of a process that starts now
+Incarnation newIncarnation();
+
+/// \brief Runs a daemon: reads arguments and settings, starts the log, calls \a run.
+/// \returns the exit code
+int runDaemon(int argc, char** argv, const std::string& usage, const std::string& program, const std::function<void(const Settings&)>& run);
+
+} // namespace pimentopoint
--- /dev/null
+++ b/daemons/Front.cpp
@@ -0,0 +1,223 @@
+/// \file
+/// The front: meets callers over HTTP, plans, fans out to gateways, merges and answers.
+#include "Daemon.h"
+
+#include <Pimentopoint/Caller>
+#include <Pimentopoint/Peer>
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+using namespace pimentopoint;
+
+namespace {
+
+constexpr const char* usage = R"(Meets callers, fans their queries out to gateways and merges the answers.
+
+Usage:
+  pimentopoint-front --settings FILE [--check]
+  pimentopoint-front (--help | --version)
+
+Options:
+  --settings FILE  The process's own settings (YAML).
+  --check          Check the settings and exit.
+  --help           Show this text.
+  --version        Show the version.
+
+Example:
+  pimentopoint-front --settings front-a1.yaml
+
+Exit codes: 0 stopped as asked, 1 failed, 2 wrong arguments, 3 invalid settings.
+)";
+
+/// Time for the balancer and the members to learn of the stop while requests are still served.
+constexpr Duration leaveTime = std::chrono::seconds(1);
+/// Bound on the wait for callers' connections to end.
+constexpr Duration connectionTime = std::chrono::seconds(4);
+constexpr std::size_t passedOnThreads = 16;
+constexpr const char* plainText = "text/plain; version=0.0.4";
+
+class FrontDaemon {
+public:
+    explicit FrontDaemon(const Settings& settings)
+        : m_settings(settings)
+        , m_incarnation(newIncarnation())
+        , m_board(settings.dataCentre(), m_clock, m_incarnation.value())
+        , m_control(settings, MemberRole::Front, m_incarnation, controlHooks())
+        , m_engine(
+              settings.name(), m_incarnation, m_clock, m_metrics, m_board, [this] { return m_control.documents().inForce(); }, engineHooks())
+        , m_workers(passedOnThreads)
+        , m_http(settings.http(), settings.threads(), maxRequestBytes, [this](const HttpRequest& request) { return serve(request); })
+    {
+    }
+
+    void run(const StopSignal& signal)
+    {
+        m_control.start();
+        m_ready = true;
+        Log::event(Severity::Info, "started", { { "incarnation", m_incarnation } });
+        signal.wait();
+        stop();
+    }
+
+private:
+    ControlPlane::Hooks controlHooks()
+    {
+        ControlPlane::Hooks hooks;
+        hooks.documents = [](const DocumentStore::InForce&) {};
+        hooks.members = [this](const std::vector<MemberRecord>& members) { m_board.setMembers(members); };
+        hooks.serving = [this](bool serving) { setServing(serving); };
+        hooks.frame = [this](const PeerConnection::Pointer& connection, const Frame& frame) { handle(connection, frame); };
+        hooks.lost = [this](ConnectionId connection, const std::vector<FrameTag>& unsent) { m_engine.connectionLost(connection, unsent); };
+        hooks.closed = [](const PeerConnection::Pointer&) {};
+        hooks.tick = [this] {
+            if (m_ready)
+                m_engine.tick();
+        };
+        hooks.superseded = [] { StopSignal::raise(); };
+        return hooks;
+    }
+
+    FrontEngine::Hooks engineHooks()
+    {
+        FrontEngine::Hooks hooks;
+        hooks.connection = [this](const Endpoint& endpoint) { return m_control.links().connection(endpoint); };
+        hooks.send = [this](const Endpoint& endpoint, std::string bytes, FrameTag tag) { m_control.links().send(endpoint, std::move(bytes), tag); };
+        hooks.issuer = [this](const Ticket& ticket) { return issuer(ticket); };
+        hooks.paused = [this] { m_control.paused(); };
+        return hooks;
+    }
+
+    std::optional<Endpoint> issuer(const Ticket& ticket) const
+    {
+        auto member = m_control.member(ticket.member());
+        bool same = member && member->incarnation() == ticket.incarnation() && member->state() != MemberState::Dead;
+        return same ? std::optional(member->tcp()) : std::nullopt;
+    }
+
+    void setServing(bool serving)
+    {
+        if (!m_stopping)
+            m_engine.setServing(serving, NotRunReason::Stale);
+    }
+
+    void handle(const PeerConnection::Pointer& connection, const Frame& frame)
+    {
+        if (frame.type() == MessageType::ReplyBatch) {
+            ReplyBatch batch = frame.decode<ReplyBatch>();
+            m_control.noteVersions(batch.versions, connection);
+            m_engine.received(batch);
+        } else if (frame.type() == MessageType::TicketedRequest) {
+            ++m_passedOn;
+            boost::asio::post(m_workers, [this, connection, request = frame.decode<TicketedRequest>()] {
+                connection->send(encodeFrame(m_engine.runTicketed(request)));
+                --m_passedOn;
+            });
+        } else if (frame.type() == MessageType::TicketedReply) {
+            m_engine.received(frame.decode<TicketedReply>());
+        }
+    }
+
+    HttpResponse serve(const HttpRequest& request)
+    {
+        const std::string searchPrefix = "/v1/search/";
+        const std::string explainPrefix = "/v1/explain/";
+        if (request.path.starts_with(searchPrefix))
+            return search(request, request.path.substr(searchPrefix.size()));
+        if (request.path == "/v1/ticket")
+            return ticket(request);
+        if (request.path == "/healthz")
+            return health();
+        if (request.path == "/metrics")
+            return { 200, m_metrics.text(), plainText };
+        if (request.path == "/v1/status")
+            return { 200, "{\"role\":\"front\"," + m_control.statusJson() + "}" };
+        if (request.path == "/v1/burn")
+            return { 200, m_engine.burnReport() };
+        if (request.path.starts_with(explainPrefix))
+            return explain(request.path.substr(explainPrefix.size()));
+        return { 404, "{\"status\":\"not-run\",\"reason\":\"bad-request\",\"detail\":\"no such path\"}" };
+    }
+
+    HttpResponse search(const HttpRequest& http, const std::string& name)
+    {
+        try {
+            if (http.method != "POST")
+                throw InvalidRequest("method is " + http.method + ", allowed is POST");
+            if (!http.contentType.starts_with("application/json"))
+                throw InvalidRequest("content type is " + http.contentType + ", allowed is application/json");
+            RenderedAnswer answer = m_engine.ask(SearchRequest::read(SearchFrontName(name), http.body));
+            return { answer.status, answer.body };
+        } catch (const InvalidRequest& invalid) {
+            RenderedAnswer answer = render(Answer::refused(NotRunReason::BadRequest, invalid.what()), "");
+            return { answer.status, answer.body };
+        }
+    }
+
+    HttpResponse ticket(const HttpRequest& http)
+    {
+        if (http.method != "POST")
+            return { 400, render(Answer::refused(NotRunReason::BadRequest, "allowed is POST"), "").body };
+        auto ticket = m_engine.issueTicket();
+        if (ticket)
+            return { 200, "{\"ticket\":" + quoteJson(*ticket) + "}" };
+        RenderedAnswer refusal = render(Answer::refused(m_stopping ? NotRunReason::Stopping : NotRunReason::Starting), "");
+        return { refusal.status, refusal.body };
+    }
+
+    HttpResponse explain(const std::string& id) const
+    {
+        std::string text = m_engine.explain(id);
+        return text.empty() ? HttpResponse { 404, "{\"detail\":\"nothing is known of this request\"}" } : HttpResponse { 200, text };
+    }
+
+    HttpResponse health() const
+    {
+        constexpr std::uint32_t unavailable = 503;
+        if (m_leaving)
+            return { unavailable, "{\"state\":\"leaving\"}" };
+        if (!m_engine.serving())
+            return { unavailable, "{\"state\":\"not-serving\"}" };
+        return { 200, "{\"state\":\"serving\"}" };
+    }
+
+    void stop()
+    {
+        Log::event(Severity::Info, "leaving");
+        m_leaving = true;
+        m_control.leave();
+        m_http.beginDrain();
+        pauseFor(leaveTime);
+        m_stopping = true;
+        m_engine.setServing(false, NotRunReason::Stopping);
+        waitUntil([this] { return m_http.idle() && !m_passedOn; }, maxDeadline);
+        waitUntil([this] { return m_http.connections() <= 0; }, connectionTime);
+        waitUntil([this] { return m_http.idle() && !m_passedOn; }, maxDeadline);
+        m_http.stop();
+        m_workers.join();
+        m_control.stop();
+        Log::event(Severity::Info, "stopped");
+    }
+
+    Settings m_settings;
+    SystemClock m_clock;
+    Incarnation m_incarnation;
+    Metrics m_metrics;
+    TargetBoard m_board;
+    std::atomic<bool> m_ready { false };
+    std::atomic<bool> m_leaving { false };
+    std::atomic<bool> m_stopping { false };
+    std::atomic<int> m_passedOn { 0 };
+    ControlPlane m_control;
+    FrontEngine m_engine;
+    boost::asio::thread_pool m_workers;
+    HttpServer m_http;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    StopSignal signal;
+    return runDaemon(argc, argv, usage, "pimentopoint-front", [&](const Settings& settings) { FrontDaemon(settings).run(signal); });
+}
--- /dev/null
+++ b/daemons/Gateway.cpp
@@ -0,0 +1,184 @@
+/// \file
+/// The gateway: holds the connections to its targets and decides what each may be sent.
+#include "Daemon.h"
+
+#include <Pimentopoint/Peer>
+#include <Pimentopoint/Target>
+#include <atomic>
+
+using namespace pimentopoint;
+
+namespace {
+
+constexpr const char* usage = R"(Holds the connections to targets of its data centre and admits work to them.
+
+Usage:
+  pimentopoint-gateway --settings FILE [--check]
+  pimentopoint-gateway (--help | --version)
+
+Options:
+  --settings FILE  The process's own settings (YAML).
+  --check          Check the settings and exit.
+  --help           Show this text.
+  --version        Show the version.
+
+Example:
+  pimentopoint-gateway --settings gateway-a1.yaml
+
+Exit codes: 0 stopped as asked, 1 failed, 2 wrong arguments, 3 invalid settings.
+)";
+
+/// Time for the members to learn of the stop while work is still taken.
+constexpr Duration leaveTime = std::chrono::seconds(1);
+constexpr std::size_t maxBodyBytes = 1024;
+constexpr const char* plainText = "text/plain; version=0.0.4";
+
+const char* stateText(ColdRamp::State state)
+{
+    constexpr std::array<const char*, 4> texts { "cold", "ramping", "warm", "doubted" };
+    return texts.at(static_cast<std::size_t>(state));
+}
+
+class GatewayDaemon {
+public:
+    explicit GatewayDaemon(const Settings& settings)
+        : m_settings(settings)
+        , m_incarnation(newIncarnation())
+        , m_control(settings, MemberRole::Gateway, m_incarnation, controlHooks())
+        , m_outbox(m_control.context(), [this] { return m_control.documents().versions(); })
+        , m_engine(settings.name(), settings.dataCentre(), engineHooks(), m_clock.now())
+        , m_targets([this](const ExchangeResult& result) { finished(result); })
+        , m_http(settings.http(), httpThreads, maxBodyBytes, [this](const HttpRequest& request) { return serve(request); })
+    {
+    }
+
+    void run(const StopSignal& signal)
+    {
+        m_ready = true;
+        m_control.start();
+        Log::event(Severity::Info, "started", { { "incarnation", m_incarnation } });
+        signal.wait();
+        stop();
+    }
+
+private:
+    static constexpr unsigned httpThreads = 4;
+
+    ControlPlane::Hooks controlHooks()
+    {
+        ControlPlane::Hooks hooks;
+        hooks.documents = [this](const DocumentStore::InForce& documents) { m_engine.setDocuments(documents, m_clock.now()); };
+        hooks.members = [](const std::vector<MemberRecord>&) {};
+        hooks.serving = [this](bool serving) {
+            if (!m_stopping)
+                m_engine.setServing(serving, NotRunReason::Stale, m_clock.now());
+        };
+        hooks.frame = [this](const PeerConnection::Pointer& connection, const Frame& frame) { handle(connection, frame); };
+        hooks.lost = [](ConnectionId, const std::vector<FrameTag>&) {};
+        hooks.closed = [this](const PeerConnection::Pointer& connection) { m_outbox.forget(connection); };
+        hooks.tick = [this] {
+            if (m_ready)
+                m_engine.tick(m_clock.now());
+        };
+        hooks.superseded = [] { StopSignal::raise(); };
+        return hooks;
+    }
+
+    GatewayEngine::Hooks engineHooks()
+    {
+        GatewayEngine::Hooks hooks;
+        hooks.dispatch = [this](const Dispatch& dispatch) {
+            m_metrics.add("pimentopoint_target_sends_total", "");
+            m_targets.dispatch(dispatch);
+        };
+        hooks.cancel = [this](TargetId, const AttemptId& attempt) { m_targets.cancel(attempt); };
+        hooks.reply = [this](const AttemptId& attempt, SubReply reply) {
+            std::string reason = reply.outcome == Outcome::NotRun ? std::string(textOf(reply.notRun)) : std::string(textOf(reply.unknown));
+            m_metrics.add("pimentopoint_sub_replies_total", "outcome=\"" + std::string(textOf(reply.outcome)) + "\",reason=\"" + reason + "\"");
+            m_outbox.add(attempt, std::move(reply));
+        };
+        hooks.paused = [this] { m_control.paused(); };
+        return hooks;
+    }
+
+    void finished(const ExchangeResult& result)
+    {
+        if (result.newConnection)
+            m_metrics.add("pimentopoint_connections_opened_total", "");
+        m_engine.complete(result, m_clock.now());
+    }
+
+    void handle(const PeerConnection::Pointer& connection, const Frame& frame)
+    {
+        if (frame.type() == MessageType::SearchBatch) {
+            SearchBatch batch = frame.decode<SearchBatch>();
+            m_control.noteVersions(batch.versions, connection);
+            m_outbox.setConnection(batch.sender, connection);
+            m_engine.submit(batch, m_clock.now());
+        } else if (frame.type() == MessageType::CancelBatch) {
+            m_engine.cancel(frame.decode<CancelBatch>(), m_clock.now());
+        }
+    }
+
+    HttpResponse serve(const HttpRequest& request)
+    {
+        constexpr std::uint32_t unavailable = 503;
+        if (request.path == "/healthz")
+            return m_leaving ? HttpResponse { unavailable, "{\"state\":\"leaving\"}" } : HttpResponse { 200, "{\"state\":\"serving\"}" };
+        if (request.path == "/metrics")
+            return { 200, m_metrics.text(), plainText };
+        if (request.path == "/v1/status")
+            return { 200, "{\"role\":\"gateway\"," + m_control.statusJson() + ",\"targets\":" + targetsJson() + "}" };
+        return { 404, "{\"detail\":\"no such path\"}" };
+    }
+
+    std::string targetsJson() const
+    {
+        std::string text = "[";
+        for (const GatewayEngine::LaneStatus& lane : m_engine.status()) {
+            text += (text.size() > 1 ? ",{\"name\":" : "{\"name\":") + quoteJson(lane.target.value()) + ",\"state\":\"" + stateText(lane.state)
+                + "\",\"slots\":" + std::to_string(lane.share.slots()) + ",\"coldLimit\":" + std::to_string(lane.share.coldLimit()) + ",\"waiting\":"
+                + std::to_string(lane.waiting) + ",\"atWork\":" + std::to_string(lane.atWork) + ",\"serviceTimeUs\":"
+                + std::to_string(lane.serviceTime.count()) + "}";
+        }
+        return text + "]";
+    }
+
+    void stop()
+    {
+        Log::event(Severity::Info, "leaving");
+        m_leaving = true;
+        m_control.leave();
+        pauseFor(leaveTime);
+        waitUntil([this] { return m_engine.idle(); }, maxDeadline);
+        m_stopping = true;
+        m_engine.setServing(false, NotRunReason::Stopping, m_clock.now());
+        waitUntil([this] { return m_engine.idle() && m_outbox.empty(); }, maxDeadline);
+        pauseFor(std::chrono::milliseconds(100));
+        m_http.stop();
+        m_targets.stop();
+        m_control.stop();
+        Log::event(Severity::Info, "stopped");
+    }
+
+    Settings m_settings;
+    SystemClock m_clock;
+    Incarnation m_incarnation;
+    Metrics m_metrics;
+    std::atomic<bool> m_ready { false };
+    std::atomic<bool> m_leaving { false };
+    std::atomic<bool> m_stopping { false };
+    ControlPlane m_control;
+    ReplyOutbox m_outbox;
+    GatewayEngine m_engine;
+    TargetClient m_targets;
+    HttpServer m_http;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    StopSignal signal;
+    return runDaemon(argc, argv, usage, "pimentopoint-gateway", [&](const Settings& settings) { GatewayDaemon(settings).run(signal); });
+}
--- /dev/null
+++ b/standins/StandinTarget.cpp
@@ -0,0 +1,279 @@
+#include "StandinTarget.h"
+
+#include <civetweb.h>
+#include <nlohmann/json.hpp>
+
+namespace pimentopoint::standins {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr int handled = 200;
+    constexpr unsigned coldFactor = 5;
+    /// Distinct queries whose runs are remembered.
+    constexpr std::size_t maxRememberedQueries = 100000;
+
+    std::string readBody(mg_connection* connection)
+    {
+        long long length = mg_get_request_info(connection)->content_length;
+        std::string body(length > 0 ? static_cast<std::size_t>(length) : 0, '\0');
+        std::size_t offset = 0;
+        while (offset < body.size()) {
+            int count = mg_read(connection, body.data() + offset, body.size() - offset);
+            if (count <= 0)
+                return {};
+            offset += static_cast<std::size_t>(count);
+        }
+        return body;
+    }
+
+    void respond(mg_connection* connection, int status, const std::string& body, std::size_t announced = 0)
+    {
+        std::string whole = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nContent-Length: "
+            + std::to_string(announced ? announced : body.size()) + "\r\nConnection: keep-alive\r\n\r\n" + body;
+        mg_write(connection, whole.data(), whole.size());
+    }
+
+} // namespace
+
+StandinTarget::StandinTarget(const Endpoint& endpoint, TargetBehaviour behaviour, unsigned threads)
+    : m_behaviour(std::move(behaviour))
+    , m_incarnation(static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::microseconds(1)))
+{
+    m_coldUntil = m_clock.now() + m_behaviour.coldTime;
+    std::string port = endpoint.text();
+    std::string threadCount = std::to_string(threads);
+    const char* options[] = { "listening_ports", port.c_str(), "num_threads", threadCount.c_str(), "enable_keep_alive", "yes",
+        "keep_alive_timeout_ms", "60000", "request_timeout_ms", "60000", "tcp_nodelay", "1", nullptr };
+    mg_callbacks callbacks {};
+    callbacks.init_connection = countConnection;
+    callbacks.log_message = [](const mg_connection*, const char*) { return 1; };
+    m_context = mg_start(&callbacks, this, options);
+    if (!m_context)
+        throw HttpServerFailure("cannot listen on " + port);
+    mg_set_request_handler(m_context, "/v1/search", handleSearch, this);
+    mg_set_request_handler(m_context, "/v1/cancel", handleCancel, this);
+    mg_set_request_handler(m_context, "/v1/stats", handleStats, this);
+    mg_set_request_handler(
+        m_context, "/v1/health", [](mg_connection* connection, void*) {
+        respond(connection, 200, "{\"state\":\"ok\"}");
+        return handled; }, nullptr);
+    mg_set_request_handler(m_context, "/control", handleControl, this);
+}
+
+StandinTarget::~StandinTarget()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_stopping = true;
+        m_changed.notify_all();
+    }
+    mg_stop(m_context);
+}
+
+int StandinTarget::countConnection(const mg_connection* connection, void** data)
+{
+    auto* self = static_cast<StandinTarget*>(mg_get_user_data(mg_get_context(connection)));
+    std::lock_guard lock(self->m_mutex);
+    ++self->m_connections;
+    *data = new bool(true);
+    return 0;
+}
+
+void StandinTarget::change(const std::function<void(TargetBehaviour&)>& change)
+{
+    std::lock_guard lock(m_mutex);
+    change(m_behaviour);
+    m_changed.notify_all();
+}
+
+void StandinTarget::turnCold(Duration coldTime)
+{
+    std::lock_guard lock(m_mutex);
+    m_coldUntil = m_clock.now() + coldTime;
+    m_maxAtWorkCold = 0;
+}
+
+bool StandinTarget::take(unsigned& faults)
+{
+    if (!faults)
+        return false;
+    --faults;
+    return true;
+}
+
+Duration StandinTarget::serviceTime(bool isCold)
+{
+    Duration time = m_behaviour.service * (isCold ? coldFactor : 1);
+    bool straggles = m_behaviour.stragglerEvery && m_requests % m_behaviour.stragglerEvery == 0;
+    return straggles ? time * m_behaviour.stragglerFactor : time;
+}
+
+int StandinTarget::handleSearch(mg_connection* connection, void* self)
+{
+    static_cast<StandinTarget*>(self)->search(connection);
+    return handled;
+}
+
+void StandinTarget::search(mg_connection* connection)
+{
+    std::string body = readBody(connection);
+    json request = json::parse(body, nullptr, false);
+    if (request.is_discarded())
+        return respond(connection, 400, "{}");
+    const std::string attempt = request.at("attempt");
+    const std::string query = request.at("query");
+    auto* fresh = static_cast<bool*>(mg_get_user_connection_data(connection));
+    bool newConnection = fresh && *fresh;
+    if (fresh)
+        *fresh = false;
+    std::unique_lock lock(m_mutex);
+    ++m_requests;
+    auto refuse = [&](const char* reason) {
+        lock.unlock();
+        respond(connection, 503, json { { "attempt", attempt }, { "notRun", reason } }.dump());
+    };
+    if (m_behaviour.leaving)
+        return refuse("leaving");
+    if (!m_behaviour.snapshots.contains(request.at("snapshot")))
+        return refuse("snapshot");
+    if (m_atWork >= m_behaviour.shedAt)
+        return refuse("shed");
+    Instant start = m_clock.now();
+    Instant deadline = start + Duration(request.at("remainingUs").get<std::int64_t>());
+    ++m_atWork;
+    m_maxAtWork = std::max(m_maxAtWork, m_atWork);
+    bool isCold = cold(start);
+    if (isCold)
+        m_maxAtWorkCold = std::max(m_maxAtWorkCold, m_atWork);
+    if (m_runs.size() < maxRememberedQueries || m_runs.contains(query))
+        ++m_runs[query + "@" + std::to_string(request.at("begin").get<std::uint64_t>())];
+    bool silent = take(m_behaviour.silent);
+    bool cut = take(m_behaviour.cut);
+    bool crossed = take(m_behaviour.crossed);
+    bool garbage = take(m_behaviour.garbage);
+    bool drop = take(m_behaviour.drop);
+    auto over = [&] { return m_stopping || m_clock.now() >= deadline || m_cancelled.contains(attempt); };
+    while (m_running >= m_behaviour.slots && !over())
+        m_changed.wait_for(lock, std::chrono::milliseconds(5));
+    ++m_running;
+    Instant end = m_clock.now() + serviceTime(isCold) + (newConnection ? m_behaviour.connectTime : Duration(0));
+    while (m_clock.now() < end && !over())
+        m_changed.wait_for(lock, std::min(end, deadline) - m_clock.now());
+    --m_running;
+    --m_atWork;
+    m_cancelled.erase(attempt);
+    m_changed.notify_all();
+    while (silent && !m_stopping)
+        m_changed.wait_for(lock, std::chrono::milliseconds(100));
+    KeyRange asked(request.at("begin"), request.at("end"));
+    KeyRange covered = asked.intersection({ m_behaviour.holdsBegin, m_behaviour.holdsEnd });
+    json reply { { "attempt", crossed ? "1-1" : attempt }, { "incarnation", m_incarnation }, { "snapshot", request.at("snapshot") },
+        { "covered", json::array() }, { "hits", json::array() } };
+    if (!covered.empty()) {
+        reply["covered"].push_back({ covered.begin(), covered.end() });
+        reply["hits"].push_back({ { "target", m_behaviour.name }, { "begin", covered.begin() }, { "snapshot", request.at("snapshot") } });
+    }
+    lock.unlock();
+    if (silent || drop)
+        return mg_close_connection(connection);
+    if (garbage)
+        return respond(connection, 200, "this is no JSON");
+    std::string text = reply.dump();
+    respond(connection, 200, cut ? text.substr(0, text.size() / 2) : text, text.size());
+    if (cut)
+        mg_disable_connection_keep_alive(connection);
+}
+
+int StandinTarget::handleCancel(mg_connection* connection, void* context)
+{
+    auto* self = static_cast<StandinTarget*>(context);
+    json request = json::parse(readBody(connection), nullptr, false);
+    if (!request.is_discarded() && request.contains("attempt")) {
+        std::lock_guard lock(self->m_mutex);
+        ++self->m_cancels;
+        constexpr std::size_t maxRememberedCancels = 1000;
+        if (self->m_cancelled.size() < maxRememberedCancels)
+            self->m_cancelled.insert(request.at("attempt").get<std::string>());
+        self->m_changed.notify_all();
+    }
+    respond(connection, 200, "{}");
+    return handled;
+}
+
+int StandinTarget::handleStats(mg_connection* connection, void* self)
+{
+    respond(connection, 200, static_cast<StandinTarget*>(self)->statsJson());
+    return handled;
+}
+
+int StandinTarget::handleControl(mg_connection* connection, void* context)
+{
+    auto* self = static_cast<StandinTarget*>(context);
+    json request = json::parse(readBody(connection), nullptr, false);
+    if (request.is_discarded()) {
+        respond(connection, 400, "{}");
+        return handled;
+    }
+    if (request.contains("coldMs"))
+        self->turnCold(std::chrono::milliseconds(request.at("coldMs").get<int>()));
+    self->change([&](TargetBehaviour& behaviour) {
+        behaviour.service = Duration(request.value("serviceUs", static_cast<std::int64_t>(behaviour.service.count())));
+        behaviour.stragglerEvery = request.value("stragglerEvery", behaviour.stragglerEvery);
+        behaviour.silent = request.value("silent", behaviour.silent);
+        behaviour.cut = request.value("cut", behaviour.cut);
+        behaviour.crossed = request.value("crossed", behaviour.crossed);
+        behaviour.garbage = request.value("garbage", behaviour.garbage);
+        behaviour.drop = request.value("drop", behaviour.drop);
+        behaviour.leaving = request.value("leaving", behaviour.leaving);
+        behaviour.holdsBegin = request.value("holdsBegin", behaviour.holdsBegin);
+        behaviour.holdsEnd = request.value("holdsEnd", behaviour.holdsEnd);
+        if (request.contains("snapshots"))
+            behaviour.snapshots = request.at("snapshots").get<std::set<std::uint64_t>>();
+    });
+    respond(connection, 200, "{}");
+    return handled;
+}
+
+std::uint32_t StandinTarget::maxAtWork() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_maxAtWork;
+}
+
+std::uint32_t StandinTarget::maxAtWorkCold() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_maxAtWorkCold;
+}
+
+std::uint64_t StandinTarget::requests() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_requests;
+}
+
+std::uint64_t StandinTarget::runs(const std::string& text) const
+{
+    std::lock_guard lock(m_mutex);
+    std::uint64_t sum = 0;
+    for (const auto& [query, count] : m_runs) {
+        if (query.starts_with(text + "@"))
+            sum += count;
+    }
+    return sum;
+}
+
+std::string StandinTarget::statsJson() const
+{
+    std::lock_guard lock(m_mutex);
+    std::uint64_t most = 0;
+    for (const auto& [query, count] : m_runs)
+        most = std::max(most, count);
+    return json { { "name", m_behaviour.name }, { "requests", m_requests }, { "slots", m_behaviour.slots }, { "maxAtWork", m_maxAtWork },
+        { "maxAtWorkCold", m_maxAtWorkCold }, { "connections", m_connections }, { "cancels", m_cancels }, { "mostRunsOfOneQuery", most } }
+        .dump();
+}
+
+} // namespace pimentopoint::standins
