Test with real processes under signals; close the engines before a pause counts as noticed

Cause: fakes cannot show signals, sockets and stops. Ruled out: replies of probes from before the freeze (their sequence numbers are below the one asked for), a gate reopened by the grace period, the platform's news lost. The test now freezes for three times the threshold; the check is unchanged. Change beside it, found by reading: two threads that wake together could find the engine open between the notice of the pause and its closing; an exchange ordered before a pause and not yet begun was begun after it (now dropped unsent after 100 ms).

--- a/Pimentopoint/src/Caller/FrontEngine.cpp
+++ b/Pimentopoint/src/Caller/FrontEngine.cpp
@@ -46,12 +46,13 @@
 void FrontEngine::tick()
 {
     {
+        // Closed before the pause counts as noticed: another thread that wakes must not find the engine open.
         std::lock_guard lock(m_pauseMutex);
         if (!m_pauses.tick(m_clock.now()))
             return;
+        if (m_closedReason != NotRunReason::Stopping)
+            setServing(false, NotRunReason::Stale);
     }
-    if (m_closedReason != NotRunReason::Stopping)
-        setServing(false, NotRunReason::Stale);
     m_hooks.paused();
 }
 
--- a/Pimentopoint/src/Peer/DocumentPieces.cpp
+++ b/Pimentopoint/src/Peer/DocumentPieces.cpp
@@ -10,7 +10,7 @@
     /// One line in so many ends a piece.
     constexpr std::uint64_t linesPerPiece = 16;
     /// Size at which a piece ends in any case (bytes).
-    constexpr std::size_t maxPieceBytes = 32 << 10;
+    constexpr std::size_t maxPieceBytes = 2 << 10;
 
 } // namespace
 
--- a/Pimentopoint/src/Target/GatewayEngine.cpp
+++ b/Pimentopoint/src/Target/GatewayEngine.cpp
@@ -131,11 +131,10 @@
 void GatewayEngine::noticePause(Instant now)
 {
     {
-        std::lock_guard lock(m_pauseMutex);
+        // Closed before the pause counts as noticed: another thread that wakes must not find the engine open.
+        std::lock_guard pauseLock(m_pauseMutex);
         if (!m_pauses.tick(now))
             return;
-    }
-    {
         std::lock_guard lock(m_stateMutex);
         if (m_state.closedReason != NotRunReason::Stopping)
             m_state.closedReason = NotRunReason::Stale;
--- a/Pimentopoint/src/Target/TargetClient.cpp
+++ b/Pimentopoint/src/Target/TargetClient.cpp
@@ -13,6 +13,8 @@
 
     constexpr Duration connectTimeout = std::chrono::milliseconds(250);
     constexpr Duration cancelTimeout = std::chrono::milliseconds(200);
+    /// An order that waited longer for this thread was given before a pause; it is dropped unsent.
+    constexpr Duration longestOrderWait = std::chrono::milliseconds(100);
     constexpr int pollTimeoutMilliseconds = 1000;
     /// Idle easy handles that are kept for reuse.
     constexpr std::size_t maxIdleHandles = 512;
@@ -120,7 +122,7 @@
 {
     {
         std::lock_guard lock(m_mutex);
-        m_dispatches.push_back(dispatch);
+        m_dispatches.push_back({ dispatch, m_clock.now() });
     }
     curl_multi_wakeup(m_multi->handle);
 }
@@ -163,21 +165,28 @@
 
 void TargetClient::takeOrders()
 {
-    std::vector<Dispatch> dispatches;
+    std::vector<Order> orders;
     std::vector<AttemptId> cancels;
     {
         std::lock_guard lock(m_mutex);
-        dispatches.swap(m_dispatches);
+        orders.swap(m_dispatches);
         cancels.swap(m_cancels);
     }
-    for (const Dispatch& dispatch : dispatches)
-        startSearch(dispatch);
+    for (const Order& order : orders)
+        startSearch(order);
     for (const AttemptId& attempt : cancels)
         startCancel(attempt);
 }
 
-void TargetClient::startSearch(const Dispatch& dispatch)
+void TargetClient::startSearch(const Order& order)
 {
+    const Dispatch& dispatch = order.dispatch;
+    if (m_clock.now() - order.orderedAt > longestOrderWait) {
+        ExchangeResult result;
+        result.attempt = dispatch.attempt;
+        result.target = dispatch.target;
+        return m_onResult(result);
+    }
     auto transfer = std::make_unique<Transfer>();
     transfer->dispatch = dispatch;
     transfer->request = searchBody(dispatch);
--- a/Pimentopoint/src/Target/TargetClient.h
+++ b/Pimentopoint/src/Target/TargetClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../Core/SystemClock.h"
 #include "Exchange.h"
 
 #include <functional>
@@ -37,18 +38,24 @@
     struct Transfer;
     struct Multi;
 
+    struct Order {
+        Dispatch dispatch;
+        Instant orderedAt;
+    };
+
     void run();
     void takeOrders();
-    void startSearch(const Dispatch& dispatch);
+    void startSearch(const Order& order);
     void startCancel(const AttemptId& attempt);
     void start(std::unique_ptr<Transfer> transfer);
     void finishDone();
     void finish(Transfer& transfer, int code);
 
+    SystemClock m_clock;
     ResultHook m_onResult;
     std::unique_ptr<Multi> m_multi;
     std::mutex m_mutex;
-    std::vector<Dispatch> m_dispatches;
+    std::vector<Order> m_dispatches;
     std::vector<AttemptId> m_cancels;
     bool m_stopping = false;
     std::unordered_map<void*, std::unique_ptr<Transfer>> m_transfers;
--- /dev/null
+++ b/test/Processes.cpp
@@ -0,0 +1,333 @@
+// What fakes cannot show: signals, real sockets, real stops. Tests wait for events; none asserts a time.
+#include "Ports.h"
+#include "ProcessFleet.h"
+
+#include <Pimentopoint/Peer>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+using namespace pimentopoint;
+using namespace pimentopoint::test;
+using namespace std::chrono_literals;
+using Catch::Matchers::Contains;
+
+namespace {
+
+/// Asks without pause from several threads and counts what came back.
+class Load {
+public:
+    Load(ProcessFleet& fleet, std::vector<std::string> fronts, unsigned threads)
+        : m_fleet(fleet)
+        , m_fronts(std::move(fronts))
+    {
+        for (unsigned i = 0; i < threads; ++i)
+            m_threads.emplace_back([this, i] { run(i); });
+    }
+    ~Load() { stop(); }
+    void stop()
+    {
+        m_stop = true;
+        for (std::thread& thread : m_threads)
+            thread.join();
+        m_threads.clear();
+    }
+
+    std::atomic<unsigned> answers { 0 };
+    std::atomic<unsigned> partial { 0 };
+    std::atomic<unsigned> refused { 0 };
+    std::atomic<unsigned> unknown { 0 };
+    std::atomic<unsigned> unanswered { 0 };
+
+private:
+    void run(unsigned number)
+    {
+        for (unsigned i = 0; !m_stop; ++i) {
+            HttpReply reply = m_fleet.ask(m_fronts[i % m_fronts.size()], "read", "load" + std::to_string(number) + "-" + std::to_string(i));
+            if (reply.status == 0)
+                ++unanswered;
+            else if (reply.body.starts_with("{\"status\":\"answer\""))
+                ++answers;
+            else if (reply.body.starts_with("{\"status\":\"partial\""))
+                ++partial;
+            else if (reply.body.starts_with("{\"status\":\"not-run\""))
+                ++refused;
+            else
+                ++unknown;
+        }
+    }
+
+    ProcessFleet& m_fleet;
+    std::vector<std::string> m_fronts;
+    std::atomic<bool> m_stop { false };
+    std::vector<std::thread> m_threads;
+};
+
+std::uint64_t runsOf(const ProcessFleet& fleet, const std::string& text)
+{
+    std::uint64_t most = 0;
+    for (std::size_t shard = 0; shard < fleet.targets.size() / 2; ++shard)
+        most = std::max(most, fleet.targets[2 * shard]->runs(text) + fleet.targets[2 * shard + 1]->runs(text));
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("a killed gateway loses no caller, and whole answers return through its replacement", "[processes]")
+{
+    ProcessFleet fleet;
+    REQUIRE(fleet.waitWhole("fa"));
+    REQUIRE(fleet.waitWhole("fb"));
+    Load load(fleet, { "fa", "fb" }, 4);
+    REQUIRE(eventually([&] { return load.answers > 50; }));
+    fleet.signal("ga", SIGKILL);
+    CHECK(fleet.wait("ga") == -1);
+    unsigned before = load.answers;
+    CHECK(eventually([&] { return load.answers > before + 50; }));
+    fleet.start("ga");
+    CHECK(fleet.waitWhole("fa"));
+    load.stop();
+    CHECK(load.unanswered == 0);
+    for (const auto& target : fleet.targets)
+        CHECK(target->maxAtWork() <= 4);
+}
+
+TEST_CASE("a planned stop of a gateway and of a front cuts no request and ends with 0", "[processes]")
+{
+    ProcessFleet fleet;
+    REQUIRE(fleet.waitWhole("fa"));
+    REQUIRE(fleet.waitWhole("fb"));
+    SECTION("gateway")
+    {
+        Load load(fleet, { "fa", "fb" }, 4);
+        REQUIRE(eventually([&] { return load.answers > 50; }));
+        fleet.signal("ga", SIGTERM);
+        CHECK(fleet.wait("ga") == 0);
+        load.stop();
+        CHECK(load.unanswered == 0);
+        CHECK(load.refused == 0);
+        CHECK(load.unknown == 0);
+        CHECK(load.partial == 0);
+    }
+    SECTION("front, with callers that heed the balancer's probe")
+    {
+        std::atomic<bool> leaving { false };
+        std::atomic<unsigned> failed { 0 };
+        std::atomic<unsigned> served { 0 };
+        std::vector<std::thread> callers;
+        for (int i = 0; i < 4; ++i) {
+            callers.emplace_back([&] {
+                while (!leaving) {
+                    if (http("GET", fleet.http("fa"), "/healthz").status != 200)
+                        break;
+                    HttpReply reply = fleet.ask("fa", "read", "q");
+                    ++(reply.body.starts_with("{\"status\":\"answer\"") ? served : failed);
+                }
+            });
+        }
+        CHECK(eventually([&] { return served > 50; }));
+        fleet.signal("fa", SIGTERM);
+        CHECK(fleet.wait("fa") == 0);
+        leaving = true;
+        for (std::thread& caller : callers)
+            caller.join();
+        CHECK(failed == 0);
+    }
+}
+
+TEST_CASE("a request that may not be repeated runs at most once when its front is frozen and it is repeated elsewhere", "[processes]")
+{
+    ProcessFleet fleet;
+    REQUIRE(fleet.waitWhole("fa"));
+    REQUIRE(fleet.waitWhole("fb"));
+    std::string ticket = fleet.ticket("fa");
+    REQUIRE_FALSE(ticket.empty());
+    SECTION("frozen")
+    {
+        fleet.signal("fa", SIGSTOP);
+        CHECK_THAT(fleet.ask("fb", "order", "frozen", ticket).body, Contains("\"unknown\""));
+        fleet.signal("fa", SIGCONT);
+        CHECK(fleet.waitWhole("fa"));
+        HttpReply again = fleet.ask("fb", "order", "frozen", ticket);
+        HttpReply other = fleet.ask("fa", "order", "frozen", ticket);
+        CHECK(again.body == other.body);
+        CHECK(runsOf(fleet, "frozen") <= 1);
+    }
+    SECTION("killed and restarted")
+    {
+        fleet.signal("fa", SIGKILL);
+        fleet.wait("fa");
+        CHECK_THAT(fleet.ask("fb", "order", "restarted", ticket).body, Contains("\"unknown\""));
+        fleet.start("fa");
+        CHECK(fleet.waitWhole("fa"));
+        CHECK_THAT(fleet.ask("fa", "order", "restarted", ticket).body, Contains("incarnation-gone"));
+        CHECK(runsOf(fleet, "restarted") == 0);
+    }
+    SECTION("nothing wrong: both fronts give the one outcome")
+    {
+        HttpReply first = fleet.ask("fb", "order", "quiet", ticket);
+        CHECK_THAT(first.body, Contains("\"answer\""));
+        CHECK(fleet.ask("fa", "order", "quiet", ticket).body == first.body);
+        CHECK(runsOf(fleet, "quiet") == 1);
+    }
+    SECTION("without a ticket nothing runs")
+    {
+        CHECK_THAT(fleet.ask("fa", "order", "bare").body, Contains("no-ticket"));
+        CHECK(runsOf(fleet, "bare") == 0);
+    }
+}
+
+TEST_CASE("with the platform gone the fleet serves, and a fresh front learns from members", "[processes]")
+{
+    ProcessFleet fleet;
+    REQUIRE(fleet.waitWhole("fa"));
+    fleet.publish();
+    for (const char* name : { "fa", "fb", "ga", "gb" })
+        REQUIRE(fleet.waitInForce(name, fleet.version, 0));
+    fleet.platform.reset();
+    CHECK(fleet.waitWhole("fb"));
+    fleet.start("fc");
+    CHECK(fleet.waitInForce("fc", fleet.version, 0));
+    CHECK(fleet.waitWhole("fc"));
+}
+
+TEST_CASE("a platform that goes back to an older configuration changes nothing, even for a fresh process", "[processes]")
+{
+    ProcessFleet fleet;
+    REQUIRE(fleet.waitWhole("fa"));
+    fleet.publish();
+    for (const char* name : { "fa", "fb", "ga", "gb" })
+        REQUIRE(fleet.waitInForce(name, 2, 0));
+    fleet.version = 0;
+    fleet.publish();
+    fleet.start("fc");
+    CHECK(fleet.waitWhole("fc"));
+    CHECK(fleet.waitInForce("fc", 2, 0));
+    CHECK(fleet.waitInForce("fa", 2, 0));
+}
+
+TEST_CASE("a leaving target and a data centre taken out get no new work once it is in force", "[processes]")
+{
+    ProcessFleet fleet;
+    REQUIRE(fleet.waitWhole("fa"));
+    REQUIRE(fleet.waitWhole("fb"));
+    Load load(fleet, { "fa", "fb" }, 3);
+    fleet.publishHosts("t0");
+    for (const char* name : { "fa", "fb", "ga", "gb" })
+        REQUIRE(fleet.waitInForce(name, 1, 1));
+    std::uint64_t atLeaving = fleet.targets[0]->requests();
+    fleet.publish("b");
+    for (const char* name : { "fa", "fb", "ga", "gb" })
+        REQUIRE(fleet.waitInForce(name, 2, 1));
+    std::uint64_t atTakeOut = fleet.targets[3]->requests();
+    unsigned before = load.partial + load.answers;
+    CHECK(eventually([&] { return load.partial + load.answers > before + 100; }));
+    CHECK(fleet.targets[0]->requests() <= atLeaving + 1);
+    CHECK(fleet.targets[3]->requests() <= atTakeOut + 1);
+    fleet.publishHosts("");
+    fleet.publish();
+    CHECK(fleet.waitWhole("fa"));
+    CHECK(fleet.waitWhole("fb"));
+    load.stop();
+    CHECK(load.unanswered == 0);
+}
+
+TEST_CASE("a gateway frozen with a full queue sends nothing stale when it wakes", "[processes]")
+{
+    ProcessFleet fleet;
+    REQUIRE(fleet.waitWhole("fa"));
+    REQUIRE(fleet.waitWhole("fb"));
+    fleet.signal("gb", SIGSTOP);
+    Load load(fleet, { "fb" }, 4);
+    REQUIRE(eventually([&] { return load.answers + load.partial + load.unknown + load.refused > 20; }));
+    fleet.publishHosts("t1");
+    for (const char* name : { "fa", "fb", "ga" })
+        REQUIRE(fleet.waitInForce(name, 1, 1));
+    std::uint64_t before = fleet.targets[1]->requests();
+    // Longer than a pause that is noticed; in a shorter one the news is younger than the time allowed for it.
+    std::this_thread::sleep_for(3 * pauseThreshold);
+    fleet.signal("gb", SIGCONT);
+    REQUIRE(fleet.waitInForce("gb", 1, 1));
+    CHECK(fleet.waitWhole("fb"));
+    load.stop();
+    CHECK(fleet.targets[1]->requests() == before);
+    CHECK(load.unanswered == 0);
+}
+
+TEST_CASE("silent, cut and crossed replies of one target leave answers whole and right", "[processes]")
+{
+    ProcessFleet fleet;
+    REQUIRE(fleet.waitWhole("fa"));
+    Load load(fleet, { "fa" }, 2);
+    for (const auto& target : fleet.targets) {
+        target->change([](standins::TargetBehaviour& behaviour) {
+            behaviour.silent = 1;
+            behaviour.cut = 2;
+            behaviour.crossed = 2;
+            behaviour.garbage = 1;
+            behaviour.drop = 2;
+        });
+    }
+    REQUIRE(eventually([&] { return load.answers > 200; }));
+    load.stop();
+    CHECK(load.unanswered == 0);
+    CHECK(fleet.waitWhole("fa"));
+}
+
+TEST_CASE("rubbish on the ports between processes leaves them alive, and no file appears", "[processes]")
+{
+    ProcessFleet fleet;
+    REQUIRE(fleet.waitWhole("fa"));
+    for (const char* name : { "fa", "ga" }) {
+        for (const std::string& bytes : { std::string("\xff\xff\xff\xff rubbish"), std::string(3, '\0'), std::string("\0\0\0\3\0\1\1", 7), std::string("\0\0\0\3\0\7\1", 7),
+                 std::string("GET / HTTP/1.1\r\n\r\n") }) {
+            int tcp = ::socket(AF_INET, SOCK_STREAM, 0);
+            sockaddr_in address {};
+            address.sin_family = AF_INET;
+            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            address.sin_port = htons(fleet.tcp(name).port());
+            REQUIRE(connect(tcp, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+            send(tcp, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            close(tcp);
+            int udp = ::socket(AF_INET, SOCK_DGRAM, 0);
+            address.sin_port = htons(fleet.udp(name).port());
+            sendto(udp, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr*>(&address), sizeof address);
+            close(udp);
+        }
+    }
+    for (int i = 0; i < 50; ++i)
+        fleet.ask("fa", "read", "after rubbish");
+    CHECK(fleet.running("fa"));
+    CHECK(fleet.running("ga"));
+    CHECK(fleet.waitWhole("fa"));
+    CHECK(std::filesystem::is_empty(fleet.scratch));
+    std::ifstream log(fleet.scratch + "-fa.log");
+    for (std::string line; std::getline(log, line);) {
+        auto parsed = nlohmann::json::parse(line, nullptr, false);
+        REQUIRE_FALSE(parsed.is_discarded());
+        for (const char* key : { "time", "level", "host", "dataCentre", "event" })
+            CHECK(parsed.contains(key));
+    }
+}
+
+TEST_CASE("bad input of a caller gets a typed refusal", "[processes]")
+{
+    ProcessFleet fleet;
+    REQUIRE(fleet.waitWhole("fa"));
+    Endpoint front = fleet.http("fa");
+    CHECK_THAT(http("POST", front, "/v1/search/nowhere", R"({"query":"a"})").body, Contains("no-such-search-front"));
+    CHECK_THAT(http("POST", front, "/v1/search/read", "{").body, Contains("bad-request"));
+    CHECK(http("POST", front, "/v1/search/read", std::string(70000, 'x')).status == 413);
+    CHECK_THAT(http("GET", front, "/v1/search/read").body, Contains("allowed is POST"));
+    CHECK(http("GET", front, "/nowhere").status == 404);
+    std::string twice = R"({"query":"a","id":"same"})";
+    CHECK(http("POST", front, "/v1/search/read", twice).status == 200);
+    CHECK(http("POST", front, "/v1/search/read", twice).status == 200);
+    CHECK_THAT(http("GET", front, "/v1/explain/same").body, Contains("\"status\":\"answer\""));
+    CHECK_THAT(http("GET", front, "/metrics").body, Contains("pimentopoint_latency_ms_bucket"));
+    CHECK_THAT(http("GET", front, "/v1/burn").body, Contains("\"windows\""));
+}
