--- a/Pimentopoint/src/Target/ColdRamp.cpp
+++ b/Pimentopoint/src/Target/ColdRamp.cpp
@@ -16,6 +16,8 @@
     constexpr unsigned unusualRepliesForCold = 2;
     /// Weight of a new service time in the average, as one part in so many.
     constexpr int averageWeight = 16;
+    /// The same while the target is cold.
+    constexpr int coldAverageWeight = 4;
 
 } // namespace
 
@@ -68,12 +70,12 @@
     m_unusualInDoubt = 0;
 }
 
-void ColdRamp::learn(Duration serviceTime)
+void ColdRamp::learn(Duration serviceTime, int weight)
 {
     if (!m_serviceTime.count())
         m_serviceTime = serviceTime;
     else
-        m_serviceTime += (serviceTime - m_serviceTime) / averageWeight;
+        m_serviceTime += (serviceTime - m_serviceTime) / weight;
 }
 
 void ColdRamp::hint(const WarmthHint& hint)
@@ -126,9 +128,8 @@
             m_state = State::Warm;
             m_serviceTime = Duration(m_hint.serviceTime);
         }
-        // While a target is cold its average follows it down to the warm value.
-        if (!m_serviceTime.count() || serviceTime < m_serviceTime)
-            m_serviceTime = serviceTime;
+        // While a target is cold its average follows it quickly to the warm value.
+        learn(serviceTime, coldAverageWeight);
         return advance(share, now);
     }
     bool asUsual = usual(serviceTime, m_serviceTime);
@@ -139,7 +140,7 @@
     }
     if (!asUsual)
         return doubt(now);
-    learn(serviceTime);
+    learn(serviceTime, averageWeight);
     advance(share, now);
 }
 
--- a/Pimentopoint/src/Target/ColdRamp.h
+++ b/Pimentopoint/src/Target/ColdRamp.h
@@ -53,7 +53,7 @@
     bool usual(Duration serviceTime, Duration usualTime) const;
     void becomeCold(Instant now);
     void doubt(Instant now);
-    void learn(Duration serviceTime);
+    void learn(Duration serviceTime, int weight);
     void settleDoubt(bool asUsual, Instant now);
     void advance(const Share& share, Instant now);
 
--- a/Pimentopoint/src/Target/TargetLane.cpp
+++ b/Pimentopoint/src/Target/TargetLane.cpp
@@ -181,7 +181,9 @@
         m_connections = std::min(m_connections + 1, m_share.slots());
     switch (result.end) {
     case ExchangeEnd::Replied:
-        m_ramp.replied(result.reply.incarnation, now - exchange.sentAt, m_share, exchange.sentAt, now);
+        // A cancelled request may end early, which tells nothing of the usual service time.
+        if (!exchange.abandoned)
+            m_ramp.replied(result.reply.incarnation, now - exchange.sentAt, m_share, exchange.sentAt, now);
         return;
     case ExchangeEnd::RefusedShed:
         m_ramp.shed(exchange.sentAt, now);
--- a/test/Lane.cpp
+++ b/test/Lane.cpp
@@ -258,3 +258,17 @@
     CHECK(bench.actions.dispatches[0].silence < 1s);
     CHECK(bench.actions.dispatches[1].silence == Duration(5s));
 }
+
+TEST_CASE("a reply to cancelled work, and one early reply, do not make later ones look slow")
+{
+    LaneBench bench(Share(2, 1, 6));
+    bench.warm();
+    bench.submit(1);
+    bench.lane.cancel(AttemptId(Incarnation(1), 1), bench.actions);
+    bench.end(1);
+    CHECK(bench.lane.ramp().serviceTime() == usualService);
+    LaneBench cold(Share(2, 1, 6));
+    cold.serveOne(Duration(100));
+    cold.warm();
+    CHECK(cold.lane.ramp().state() == ColdRamp::State::Warm);
+}
