Count connections by exchanges that ended well

Cause: warm lanes had 1 of 3 slots at work with 45 waiting. Ruled out: the ramp (warm, full share). Trace: the count of open connections fell with every lost exchange and rose only when the transport opened one for an exchange; cancellations reuse and open connections that the lane does not see, so the count stuck at 0 and the limit at 1. Change: every exchange that ended well allows one connection more, up to the share; the test at the door uses the same limit.

--- a/Pimentopoint/src/Target/TargetLane.cpp
+++ b/Pimentopoint/src/Target/TargetLane.cpp
@@ -65,13 +65,13 @@
 
 std::uint32_t TargetLane::limit() const
 {
-    // Beyond the open connections, one is opened at a time.
+    // Each exchange that ended well allows one connection more, so that connections open one after the other.
     return std::min(m_ramp.limit(m_share), m_connections + 1);
 }
 
 bool TargetLane::meetsDeadline(const Work& work, Instant now) const
 {
-    std::uint32_t reachable = std::max(m_ramp.limit(m_share), 1U);
+    std::uint32_t reachable = std::max(limit(), 1U);
     Duration serviceTime = std::max(m_ramp.serviceTime(), unknownServiceTime);
     std::size_t ahead = m_queue.ahead(work.context->urgency) + atWork();
     auto rounds = static_cast<Duration::rep>(ahead / reachable);
@@ -177,7 +177,9 @@
 
 void TargetLane::noteEnd(const ExchangeResult& result, const InFlight& exchange, Instant now)
 {
-    if (result.newConnection)
+    bool connectionGood = result.end == ExchangeEnd::Replied || result.end == ExchangeEnd::RefusedShed || result.end == ExchangeEnd::RefusedSnapshot
+        || result.end == ExchangeEnd::RefusedLeaving;
+    if (connectionGood)
         m_connections = std::min(m_connections + 1, m_share.slots());
     switch (result.end) {
     case ExchangeEnd::Replied:
--- a/Pimentopoint/src/Target/TargetLane.h
+++ b/Pimentopoint/src/Target/TargetLane.h
@@ -81,7 +81,7 @@
     AdmissionQueue m_queue;
     std::unordered_map<AttemptId, InFlight> m_inFlight;
     std::vector<Instant> m_quarantine;
-    std::uint32_t m_connections = 0;
+    std::uint32_t m_connections = 0; ///< Connections that are held for open.
 };
 
 } // namespace pimentopoint
--- a/test/Lane.cpp
+++ b/test/Lane.cpp
@@ -272,3 +272,21 @@
     cold.warm();
     CHECK(cold.lane.ramp().state() == ColdRamp::State::Warm);
 }
+
+TEST_CASE("lost connections slow a lane down only until exchanges end well again")
+{
+    LaneBench bench(Share(3, 1, 9));
+    bench.warm();
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+        bench.submit(i);
+        bench.end(i, ExchangeEnd::ConnectionLost);
+        bench.clock.advance(100ms);
+        bench.lane.tick(bench.clock.now(), bench.actions);
+    }
+    bench.warm();
+    for (int i = 0; i < 3; ++i)
+        bench.serveOne(usualService);
+    for (std::uint64_t i = 10; i < 13; ++i)
+        bench.submit(i);
+    CHECK(bench.lane.atWork() == 3);
+}
