Begin no work that cannot end in time; a race in the document store

Cause: lanes stayed cold with 18 sub-queries waiting; each cold time began anew before it ended. Trace: work at the end of a queue was sent with less time left than the usual service time; it always ended as timed out, which counted as trouble at the target, so that the cold time of 5 s without trouble never passed. The same log showed a conflict of version 1 with itself: a document that came into force from a member while the platform's copy was being read. Change: work whose remaining time is below the usual service time is refused unsent; a deadline that passed within the usual time is no sign of trouble; the store compares digests again under its lock.

--- a/Pimentopoint/src/Peer/DocumentStore.cpp
+++ b/Pimentopoint/src/Peer/DocumentStore.cpp
@@ -41,7 +41,8 @@
 
 OfferResult DocumentStore::adoptLocked(Held& current, std::uint64_t version, const std::string& text)
 {
-    if (version < current.version)
+    // The same document may have come into force from another source while this one was read.
+    if (version < current.version || current.digest == Digest(hashOf(text)))
         return {};
     if (version == current.version)
         return { Adoption::Conflict, "version " + std::to_string(version) + " with other content" };
--- a/Pimentopoint/src/Target/ColdRamp.cpp
+++ b/Pimentopoint/src/Target/ColdRamp.cpp
@@ -42,7 +42,7 @@
     return { m_incarnation, static_cast<std::uint32_t>(m_serviceTime.count()) };
 }
 
-bool ColdRamp::usual(Duration serviceTime, Duration usualTime) const
+bool ColdRamp::usual(Duration serviceTime, Duration usualTime)
 {
     return serviceTime <= std::max(usualTime * slowFactor, usualTime + slowFloor);
 }
@@ -132,7 +132,7 @@
         learn(serviceTime, coldAverageWeight);
         return advance(share, now);
     }
-    bool asUsual = usual(serviceTime, m_serviceTime);
+    bool asUsual = usual(serviceTime);
     if (m_state == State::Doubted) {
         if (sentAt >= m_since)
             settleDoubt(asUsual, now);
--- a/Pimentopoint/src/Target/ColdRamp.h
+++ b/Pimentopoint/src/Target/ColdRamp.h
@@ -39,6 +39,8 @@
     WarmthHint warmth() const;
     /// \returns the usual service time; 0 before the first reply
     Duration serviceTime() const { return m_serviceTime; }
+    /// \returns whether \a serviceTime is no sign of trouble
+    bool usual(Duration serviceTime) const { return usual(serviceTime, m_serviceTime); }
 
     /// Takes evidence from another gateway's time with the target.
     void hint(const WarmthHint& hint);
@@ -50,7 +52,7 @@
     void connectionLost(Instant now);
 
 private:
-    bool usual(Duration serviceTime, Duration usualTime) const;
+    static bool usual(Duration serviceTime, Duration usualTime);
     void becomeCold(Instant now);
     void doubt(Instant now);
     void learn(Duration serviceTime, int weight);
--- a/Pimentopoint/src/Target/TargetLane.cpp
+++ b/Pimentopoint/src/Target/TargetLane.cpp
@@ -75,7 +75,7 @@
     Duration serviceTime = std::max(m_ramp.serviceTime(), unknownServiceTime);
     std::size_t ahead = m_queue.ahead(work.context->urgency) + atWork();
     auto rounds = static_cast<Duration::rep>(ahead / reachable);
-    return now + serviceTime * rounds < work.deadline;
+    return now + serviceTime * (rounds + 1) <= work.deadline;
 }
 
 void TargetLane::submit(Work work, const WarmthHint& hint, Instant now, LaneActions& actions)
@@ -99,7 +99,8 @@
         auto work = m_queue.pop();
         if (!work)
             return;
-        if (work->deadline <= now)
+        // What cannot be done in time is not begun.
+        if (work->deadline <= now || work->deadline < now + m_ramp.serviceTime())
             refuse(work->attempt, NotRunReason::Deadline, false, actions);
         else
             dispatch(std::move(*work), now, actions);
@@ -204,7 +205,10 @@
     }
     if (m_connections)
         --m_connections;
-    m_ramp.connectionLost(now);
+    // A deadline that passed within the usual time is no sign of trouble at the target.
+    bool expected = result.end == ExchangeEnd::TimedOut && m_ramp.usual(now - exchange.sentAt);
+    if (!expected)
+        m_ramp.connectionLost(now);
     m_quarantine.push_back(now + std::max(shortestQuarantine, 2 * m_ramp.serviceTime()));
 }
 
--- a/test/Documents.cpp
+++ b/test/Documents.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <fstream>
 #include <sstream>
+#include <thread>
 
 using namespace pimentopoint;
 using Catch::Matchers::Contains;
@@ -117,6 +118,21 @@
     CHECK(store.inForce().hosts->leaving(targetIdOf(TargetName("t0"))));
 }
 
+TEST_CASE("the same document from two sources at once is no conflict")
+{
+    for (int round = 0; round < 20; ++round) {
+        DocumentStore store;
+        std::array<Adoption, 4> results {};
+        std::vector<std::thread> sources;
+        for (Adoption& result : results)
+            sources.emplace_back([&] { result = store.offer(DocumentKind::Configuration, sample(2)).adoption; });
+        for (std::thread& source : sources)
+            source.join();
+        for (Adoption result : results)
+            CHECK(result != Adoption::Conflict);
+    }
+}
+
 TEST_CASE("a later document travels between processes as its changed pieces")
 {
     DocumentStore behind;
--- a/test/Lane.cpp
+++ b/test/Lane.cpp
@@ -290,3 +290,20 @@
         bench.submit(i);
     CHECK(bench.lane.atWork() == 3);
 }
+
+TEST_CASE("what cannot be done in the time left is not begun, and a short deadline is no sign of a cold target")
+{
+    LaneBench bench(Share(1, 1, 3));
+    bench.warm();
+    bench.submit(1, 5s);
+    bench.submit(2, 12ms);
+    bench.clock.advance(9ms);
+    bench.actions = {};
+    bench.end(1);
+    CHECK(bench.refusalOf(2) == NotRunReason::Deadline);
+    CHECK(bench.actions.dispatches.empty());
+    bench.submit(3, 6ms);
+    bench.clock.advance(6ms);
+    bench.end(3, ExchangeEnd::TimedOut);
+    CHECK(bench.lane.ramp().state() == ColdRamp::State::Warm);
+}
