Keep a slot taken until the deadline that the target was given

Cause: with one request in fifty slow (20 times) a target had 7 requests at work over 6 slots. Trace: a request given up as silent after 200 ms freed its slot after 40 ms more; the target worked on it until its deadline. Change: the slot stays taken until the deadline and 20 ms. Beside it: hedges start after the 97 % quantile, so that usual sub-queries do not use up the budget for stragglers; credit is capped at 10.

--- a/Pimentopoint/src/Caller/ExtraSendBudget.h
+++ b/Pimentopoint/src/Caller/ExtraSendBudget.h
@@ -20,7 +20,7 @@
     bool spend();
 
 private:
-    static constexpr double maxCredit = 50;
+    static constexpr double maxCredit = 10;
 
     std::mutex m_mutex;
     double m_credit = 0;
--- a/Pimentopoint/src/Caller/FrontEngine.h
+++ b/Pimentopoint/src/Caller/FrontEngine.h
@@ -89,7 +89,8 @@
     using CallPointer = std::shared_ptr<Call>;
 
     static constexpr std::size_t partCount = 16;
-    static constexpr double hedgeQuantile = 0.95;
+    /// Late enough that hedges of usual sub-queries leave budget for those of stragglers.
+    static constexpr double hedgeQuantile = 0.97;
 
     Part& part(std::uint64_t query) { return m_parts[query % partCount]; }
     RunPointer findRun(std::uint64_t query);
--- a/Pimentopoint/src/Target/TargetLane.cpp
+++ b/Pimentopoint/src/Target/TargetLane.cpp
@@ -8,8 +8,8 @@
 
     /// Service time assumed before the first reply.
     constexpr Duration unknownServiceTime = std::chrono::milliseconds(1);
-    /// Bounds of the time for which a slot stays taken after an exchange whose work may go on.
-    constexpr Duration shortestQuarantine = std::chrono::milliseconds(20);
+    /// Time after its deadline by which a target has stopped.
+    constexpr Duration deadlineSlack = std::chrono::milliseconds(20);
     /// Shortest time without a reply that is taken for a silent connection.
     constexpr Duration shortestSilence = std::chrono::milliseconds(100);
     /// A connection is silent after so many usual service times.
@@ -209,7 +209,8 @@
     bool expected = result.end == ExchangeEnd::TimedOut && m_ramp.usual(now - exchange.sentAt);
     if (!expected)
         m_ramp.connectionLost(now);
-    m_quarantine.push_back(now + std::max(shortestQuarantine, 2 * m_ramp.serviceTime()));
+    // The target may work on it until the deadline that it was given.
+    m_quarantine.push_back(std::max(now, exchange.work.deadline) + deadlineSlack);
 }
 
 void TargetLane::complete(const ExchangeResult& result, Instant now, LaneActions& actions)
