Doubt a target only if no later request was served as usual

Cause: with one request in fifty slow, each straggler cut its lane to the cold limit until the slot it held was free again. Ruled out: a smaller quarantine (it broke the bound on slots). Change: a slow or lost request is held against its target only if no request sent after it was served as usual.

--- a/Pimentopoint/src/Target/ColdRamp.cpp
+++ b/Pimentopoint/src/Target/ColdRamp.cpp
@@ -52,6 +52,7 @@
     m_state = State::Cold;
     m_since = now;
     m_servingSince.reset();
+    m_lastUsualSentAt = {};
     m_hint = {};
 }
 
@@ -133,13 +134,18 @@
         return advance(share, now);
     }
     bool asUsual = usual(serviceTime);
+    if (asUsual)
+        m_lastUsualSentAt = std::max(m_lastUsualSentAt, sentAt);
     if (m_state == State::Doubted) {
         if (sentAt >= m_since)
             settleDoubt(asUsual, now);
         return;
     }
-    if (!asUsual)
-        return doubt(now);
+    if (!asUsual) {
+        if (!provenSince(sentAt))
+            doubt(now);
+        return;
+    }
     learn(serviceTime, averageWeight);
     advance(share, now);
 }
@@ -151,9 +157,10 @@
     doubt(now);
 }
 
-void ColdRamp::connectionLost(Instant now)
+void ColdRamp::connectionLost(Instant sentAt, Instant now)
 {
-    doubt(now);
+    if (!provenSince(sentAt))
+        doubt(now);
 }
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Target/ColdRamp.h
+++ b/Pimentopoint/src/Target/ColdRamp.h
@@ -16,7 +16,7 @@
 ///   first reply that matches a hint: same incarnation, usual service time.
 /// - Ramping: the limit doubles with each round of replies up to the share.
 /// - Warm: the whole share.
-/// - Doubted: a slow reply, a lost connection or a shed request; the cold limit holds until a reply to a request sent
+/// - Doubted: a slow reply, a lost connection or a shed request, with no later request served as usual meanwhile; the cold limit holds until a reply to a request sent
 ///   since is as usual (back to what was before) or several are not (cold).
 class ColdRamp {
 public:
@@ -49,12 +49,15 @@
     /// The target refused a request because it had too much to do.
     void shed(Instant sentAt, Instant now);
     /// A connection broke, was replaced or went silent.
-    void connectionLost(Instant now);
+    /// \param sentAt when the request that was on it was sent
+    void connectionLost(Instant sentAt, Instant now);
 
 private:
     static bool usual(Duration serviceTime, Duration usualTime);
     void becomeCold(Instant now);
     void doubt(Instant now);
+    /// \returns whether a request sent after \a sentAt was served as usual, so that trouble with an earlier one is its own
+    bool provenSince(Instant sentAt) const { return m_lastUsualSentAt > sentAt; }
     void learn(Duration serviceTime, int weight);
     void settleDoubt(bool asUsual, Instant now);
     void advance(const Share& share, Instant now);
@@ -66,6 +69,7 @@
     std::uint32_t m_rampLimit = 0;
     std::uint32_t m_roundReplies = 0;
     unsigned m_unusualInDoubt = 0;
+    Instant m_lastUsualSentAt {}; ///< The latest send among requests served as usual.
     Incarnation m_incarnation;
     Duration m_serviceTime { 0 };
     WarmthHint m_hint;
--- a/Pimentopoint/src/Target/TargetLane.cpp
+++ b/Pimentopoint/src/Target/TargetLane.cpp
@@ -196,7 +196,7 @@
         return;
     case ExchangeEnd::NotConnected:
         m_connections = 0;
-        m_ramp.connectionLost(now);
+        m_ramp.connectionLost(exchange.sentAt, now);
         return;
     case ExchangeEnd::ConnectionLost:
     case ExchangeEnd::TimedOut:
@@ -208,7 +208,7 @@
     // A deadline that passed within the usual time is no sign of trouble at the target.
     bool expected = result.end == ExchangeEnd::TimedOut && m_ramp.usual(now - exchange.sentAt);
     if (!expected)
-        m_ramp.connectionLost(now);
+        m_ramp.connectionLost(exchange.sentAt, now);
     // The target may work on it until the deadline that it was given.
     m_quarantine.push_back(std::max(now, exchange.work.deadline) + deadlineSlack);
 }
--- a/test/Lane.cpp
+++ b/test/Lane.cpp
@@ -140,6 +140,17 @@
         bench.end(1, ExchangeEnd::ConnectionLost);
         CHECK(bench.lane.ramp().limit(bench.lane.share()) == 1);
     }
+    SECTION("a slow reply with later work served as usual meanwhile is that request's own")
+    {
+        bench.submit(1);
+        bench.clock.advance(Duration(1));
+        bench.submit(2);
+        bench.clock.advance(usualService);
+        bench.end(2);
+        bench.clock.advance(usualService * 10);
+        bench.end(1);
+        CHECK(bench.lane.ramp().state() == ColdRamp::State::Warm);
+    }
     SECTION("a reply to work sent before the doubt proves nothing")
     {
         bench.submit(1);
