--- a/Pimentopoint/src/Caller/FrontEngine.h
+++ b/Pimentopoint/src/Caller/FrontEngine.h
@@ -90,7 +90,7 @@
 
     static constexpr std::size_t partCount = 16;
     /// Late enough that hedges of usual sub-queries leave budget for those of stragglers.
-    static constexpr double hedgeQuantile = 0.97;
+    static constexpr double hedgeQuantile = 0.985;
 
     Part& part(std::uint64_t query) { return m_parts[query % partCount]; }
     RunPointer findRun(std::uint64_t query);
--- a/Pimentopoint/src/Caller/QueryRun.cpp
+++ b/Pimentopoint/src/Caller/QueryRun.cpp
@@ -250,7 +250,7 @@
         return false;
     for (const auto& [number, attempt] : m_attempts) {
         actions.cancels.push_back({ attempt.route.endpoint, number });
-        m_environment.router.ended(attempt.route, nullptr);
+        m_environment.router.abandoned(attempt.route);
     }
     m_mayHaveRun = true;
     m_attempts.clear();
@@ -273,7 +273,7 @@
             continue;
         }
         actions.cancels.push_back({ attempt->second.route.endpoint, attempt->first });
-        m_environment.router.ended(attempt->second.route, nullptr);
+        m_environment.router.abandoned(attempt->second.route);
         attempt = m_attempts.erase(attempt);
     }
     m_shards[shard].outstanding = 0;
@@ -285,16 +285,17 @@
         return;
     for (std::size_t i = 0; i < m_shards.size(); ++i) {
         ShardRun& run = m_shards[i];
-        bool due = !run.done && run.outstanding == 1 && !run.hedged && now - run.sentAt >= m_hedgeDelay;
+        bool due = !run.done && run.outstanding == 1 && !run.hedged && now >= hedgeAt(run);
         if (!due)
             continue;
-        run.hedged = true;
+        ++run.hedgeTries;
         RouteExclusions before = run.exclusions;
         for (const auto& [number, attempt] : m_attempts) {
             if (attempt.shard == i)
                 run.exclusions.targets.push_back(attempt.route.target);
         }
-        if (!send(i, SendKind::Hedge, now, actions))
+        run.hedged = send(i, SendKind::Hedge, now, actions);
+        if (!run.hedged)
             run.exclusions = before;
     }
 }
@@ -339,7 +340,7 @@
         if (run.retryAt)
             wake = std::min(wake, *run.retryAt);
         if (run.outstanding == 1 && !run.hedged && m_front->repeatable())
-            wake = std::min(wake, run.sentAt + m_hedgeDelay);
+            wake = std::min(wake, hedgeAt(run));
     }
     return coveredSoFar() >= m_front->enoughCoverage() ? std::min(wake, patience) : wake;
 }
@@ -373,7 +374,7 @@
     actions.sends.clear();
     for (const auto& [number, attempt] : m_attempts) {
         actions.cancels.push_back({ attempt.route.endpoint, number });
-        m_environment.router.ended(attempt.route, nullptr);
+        m_environment.router.abandoned(attempt.route);
         m_shards[attempt.shard].uncertainty = UnknownReason::Deadline;
     }
     m_attempts.clear();
--- a/Pimentopoint/src/Caller/QueryRun.h
+++ b/Pimentopoint/src/Caller/QueryRun.h
@@ -80,6 +80,7 @@
         unsigned rounds = 0;
         bool done = false;
         bool hedged = false;
+        unsigned hedgeTries = 0;
         bool failed = false; ///< No way is left to try.
         std::optional<Instant> retryAt;
         Instant sentAt {};
@@ -111,6 +112,7 @@
     void retryLater(ShardRun& run, Instant now);
     bool replan(Instant now, RunActions& actions);
     void cancelOthers(std::size_t shard, RunActions& actions);
+    Instant hedgeAt(const ShardRun& run) const { return run.sentAt + m_hedgeDelay * (1 + run.hedgeTries); }
     void hedgeDue(Instant now, RunActions& actions);
     void retryDue(Instant now, RunActions& actions);
     void settle(Instant now, RunActions& actions);
--- a/Pimentopoint/src/Caller/Router.h
+++ b/Pimentopoint/src/Caller/Router.h
@@ -41,7 +41,9 @@
     /// \returns a route to a replica of \a shard, or nothing if there is none
     virtual std::optional<Route> choose(const PinnedDocuments& documents, const Shard& shard, const RouteExclusions& exclusions) = 0;
     virtual void sent(const Route& route) = 0;
-    /// Notes the end of a sub-query on \a route; \a reply is null if none came
+    /// Notes that a sub-query on \a route is no longer waited for, which says nothing against the route.
+    virtual void abandoned(const Route& route) = 0;
+    /// Notes the end of a sub-query on \a route; \a reply is null if its connection was lost
     virtual void ended(const Route& route, const SubReply* reply) = 0;
 };
 
--- a/Pimentopoint/src/Caller/TargetBoard.cpp
+++ b/Pimentopoint/src/Caller/TargetBoard.cpp
@@ -110,6 +110,15 @@
     ++shard.memos[route.target].outstanding;
 }
 
+void TargetBoard::abandoned(const Route& route)
+{
+    Part& shard = part(route.target);
+    std::lock_guard lock(shard.mutex);
+    Memo& memo = shard.memos[route.target];
+    if (memo.outstanding)
+        --memo.outstanding;
+}
+
 void TargetBoard::ended(const Route& route, const SubReply* reply)
 {
     Instant now = m_clock.now();
--- a/Pimentopoint/src/Caller/TargetBoard.h
+++ b/Pimentopoint/src/Caller/TargetBoard.h
@@ -26,6 +26,7 @@
 
     std::optional<Route> choose(const PinnedDocuments& documents, const Shard& shard, const RouteExclusions& exclusions) override;
     void sent(const Route& route) override;
+    void abandoned(const Route& route) override;
     void ended(const Route& route, const SubReply* reply) override;
 
 private:
--- a/test/Query.cpp
+++ b/test/Query.cpp
@@ -22,9 +22,15 @@
         return std::nullopt;
     }
     void sent(const Route&) override { ++outstanding; }
-    void ended(const Route&, const SubReply*) override { --outstanding; }
+    void abandoned(const Route&) override { --outstanding; }
+    void ended(const Route&, const SubReply*) override
+    {
+        --outstanding;
+        ++ends;
+    }
 
     int outstanding = 0;
+    int ends = 0; ///< Ends that may count against a route.
 };
 
 class QueryBench {
@@ -234,6 +240,7 @@
     CHECK(bench.run->answer().outcome == Outcome::Answered);
     CHECK(bench.cancels == 1);
     CHECK(bench.router.outstanding == 0);
+    CHECK(bench.router.ends == 2);
 }
 
 TEST_CASE("without budget nothing extra is sent and the answer is partial, in time")
