Move the record of requests out of the front engine

Ruled out: splitting the runs off as well; they share the locks that matter. The capacity runner counts a front and a gateway on every node and says where a gateway's one client thread is full.

--- a/Pimentopoint/src/Caller/FrontEngine.cpp
+++ b/Pimentopoint/src/Caller/FrontEngine.cpp
@@ -5,7 +5,6 @@
 #include "../Peer/Frame.h"
 
 #include <algorithm>
-#include <cstdio>
 
 namespace pimentopoint {
 
@@ -20,14 +19,6 @@
     constexpr std::size_t ticketCapacity = 200000;
     /// Deadline of a request whose search front this process does not know.
     constexpr Duration unknownFrontDeadline = std::chrono::seconds(1);
-    /// Requests that explain() remembers.
-    constexpr std::size_t explanationCapacity = 2048;
-
-    bool callersFault(NotRunReason reason)
-    {
-        return reason == NotRunReason::BadRequest || reason == NotRunReason::NoSuchSearchFront || reason == NotRunReason::NoTicket
-            || reason == NotRunReason::TicketMismatch;
-    }
 
 } // namespace
 
@@ -35,11 +26,11 @@
     std::function<DocumentStore::InForce()> documents, Hooks hooks)
     : m_incarnation(incarnation)
     , m_clock(clock)
-    , m_metrics(metrics)
     , m_router(router)
     , m_documents(std::move(documents))
     , m_hooks(std::move(hooks))
     , m_desk(self, incarnation)
+    , m_journal(metrics)
 {
 }
 
@@ -366,95 +357,24 @@
     }
 }
 
-void FrontEngine::record(const SearchRequest& request, const Answer& answer, Instant start, std::uint64_t query)
+RenderedAnswer FrontEngine::finish(const SearchRequest& request, const Answer& answer, Instant start, std::uint64_t query)
 {
     Instant now = m_clock.now();
-    Duration latency = now - start;
-    std::string label = "front=" + quoteJson(request.searchFront.value());
-    std::string outcome = std::string(textOf(answer.outcome));
-    std::string reason = answer.outcome == Outcome::NotRun ? std::string(textOf(answer.notRun)) : std::string(textOf(answer.unknown));
-    m_metrics.add("pimentopoint_requests_total", label + ",outcome=\"" + outcome + "\",reason=\"" + reason + "\"");
-    m_metrics.add("pimentopoint_first_sends_total", label, answer.firstSends);
-    m_metrics.add("pimentopoint_hedges_total", label, answer.hedges);
-    m_metrics.add("pimentopoint_retries_total", label, answer.retries);
-    m_metrics.observe("pimentopoint_latency_ms", label, latency);
-    m_metrics.observeShare("pimentopoint_coverage", label, answer.coverage.value());
     std::string id = request.id.empty() ? std::to_string(m_incarnation.value()) + "-" + std::to_string(query) : request.id;
-    std::string explanation = "{\"id\":" + quoteJson(id) + ",\"searchFront\":" + quoteJson(request.searchFront.value()) + ",\"status\":\"" + outcome
-        + "\",\"reason\":\"" + reason + "\",\"latencyUs\":" + std::to_string(latency.count()) + ",\"firstSends\":" + std::to_string(answer.firstSends)
-        + ",\"hedges\":" + std::to_string(answer.hedges) + ",\"retries\":" + std::to_string(answer.retries) + ",\"snapshot\":"
-        + std::to_string(answer.snapshot.value()) + ",\"configuration\":" + std::to_string(answer.configuration.value()) + ",\"missingRanges\":"
-        + std::to_string(answer.missing.size()) + ",\"coverage\":" + std::to_string(answer.coverage.value()) + "}";
-    {
-        std::lock_guard lock(m_explainMutex);
-        if (m_explanations.emplace(id, explanation).second)
-            m_explanationOrder.push_back(id);
-        else
-            m_explanations[id] = explanation;
-        if (m_explanationOrder.size() > explanationCapacity) {
-            m_explanations.erase(m_explanationOrder.front());
-            m_explanationOrder.pop_front();
-        }
-    }
-    if (answer.outcome == Outcome::NotRun && callersFault(answer.notRun))
-        return;
     ConfigurationPointer configuration = m_documents().configuration;
     const SearchFront* front = configuration ? configuration->searchFront(request.searchFront) : nullptr;
-    if (!front)
-        return;
-    bool ran = answer.outcome == Outcome::Answered || answer.outcome == Outcome::Partial;
-    bool good = ran && answer.coverage >= front->enoughCoverage() && latency <= front->latencyObjective();
-    FrontState& state = frontState(request.searchFront);
-    std::lock_guard lock(state.mutex);
-    state.burn.record(good, now);
-}
-
-RenderedAnswer FrontEngine::finish(const SearchRequest& request, const Answer& answer, Instant start, std::uint64_t query)
-{
-    record(request, answer, start, query);
-    std::string id = request.id.empty() ? std::to_string(m_incarnation.value()) + "-" + std::to_string(query) : request.id;
+    m_journal.record(request, answer, id, front, now - start, now);
     return render(answer, id);
 }
 
 std::string FrontEngine::burnReport() const
 {
-    ConfigurationPointer configuration = m_documents().configuration;
-    std::string report = "{\"searchFronts\":[";
-    if (!configuration)
-        return report + "]}";
-    const char* separator = "";
-    for (const SearchFront& front : configuration->searchFronts()) {
-        report += separator + ("{\"name\":" + quoteJson(front.name().value())) + ",\"objective\":" + std::to_string(front.objective().value())
-            + ",\"latencyObjectiveUs\":" + std::to_string(front.latencyObjective().count()) + ",\"windows\":[";
-        separator = ",";
-        BurnWindows burn;
-        {
-            std::lock_guard lock(m_frontsMutex);
-            auto found = m_fronts.find(front.name());
-            if (found != m_fronts.end()) {
-                std::lock_guard stateLock(found->second->mutex);
-                burn = found->second->burn;
-            }
-        }
-        const char* windowSeparator = "";
-        for (const BurnWindows::Window& window : burn.windows(m_clock.now())) {
-            char rate[32];
-            std::snprintf(rate, sizeof rate, "%.3f", window.burn(front.objective()));
-            auto seconds = std::chrono::duration_cast<std::chrono::seconds>(window.length).count();
-            report += windowSeparator + ("{\"seconds\":" + std::to_string(seconds)) + ",\"good\":" + std::to_string(window.good) + ",\"bad\":"
-                + std::to_string(window.bad) + ",\"burn\":" + rate + "}";
-            windowSeparator = ",";
-        }
-        report += "]}";
-    }
-    return report + "]}";
+    return m_journal.burnReport(m_documents().configuration.get(), m_clock.now());
 }
 
 std::string FrontEngine::explain(const std::string& id) const
 {
-    std::lock_guard lock(m_explainMutex);
-    auto found = m_explanations.find(id);
-    return found == m_explanations.end() ? "" : found->second;
+    return m_journal.explain(id);
 }
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Caller/FrontEngine.h
+++ b/Pimentopoint/src/Caller/FrontEngine.h
@@ -1,18 +1,17 @@
 #pragma once
 
-#include "../Core/BurnWindows.h"
 #include "../Core/Metrics.h"
 #include "../Core/PauseDetector.h"
 #include "../Peer/DocumentStore.h"
 #include "../Peer/PeerConnection.h"
 #include "QueryRun.h"
+#include "RequestJournal.h"
 #include "SearchRequest.h"
 #include "TicketDesk.h"
 
 #include <array>
 #include <atomic>
 #include <condition_variable>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -76,8 +75,6 @@
     struct FrontState {
         ExtraSendBudget budget;
         LatencyWindow latencies { hedgeQuantile };
-        mutable std::mutex mutex;
-        BurnWindows burn;
     };
     struct Call {
         std::mutex mutex;
@@ -105,16 +102,15 @@
     void sendCancels(const RunActions& actions);
     Answer waitFor(const RunPointer& run, std::uint64_t query);
     Instant deadlineOf(const SearchRequest& request, Instant now) const;
-    void record(const SearchRequest& request, const Answer& answer, Instant start, std::uint64_t query);
     RenderedAnswer finish(const SearchRequest& request, const Answer& answer, Instant start, std::uint64_t query);
 
     Incarnation m_incarnation;
     const Clock& m_clock;
-    Metrics& m_metrics;
     Router& m_router;
     std::function<DocumentStore::InForce()> m_documents;
     Hooks m_hooks;
     TicketDesk m_desk;
+    RequestJournal m_journal;
     std::atomic<bool> m_serving { false };
     std::atomic<NotRunReason> m_closedReason { NotRunReason::Starting };
     std::mutex m_pauseMutex;
@@ -122,16 +118,13 @@
     std::atomic<std::uint64_t> m_lastQuery { 0 };
     std::atomic<std::uint64_t> m_lastBatch { 0 };
     std::array<Part, partCount> m_parts;
-    mutable std::mutex m_frontsMutex;
+    std::mutex m_frontsMutex;
     std::map<SearchFrontName, std::unique_ptr<FrontState>> m_fronts;
     std::mutex m_callsMutex;
     std::map<std::uint64_t, CallPointer> m_calls;
     std::uint64_t m_lastCall = 0;
     std::mutex m_ticketMutex;
     std::condition_variable m_ticketDone;
-    mutable std::mutex m_explainMutex;
-    std::map<std::string, std::string> m_explanations;
-    std::deque<std::string> m_explanationOrder;
 };
 
 } // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Caller/RequestJournal.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "../Core/BurnWindows.h"
+#include "../Core/Metrics.h"
+#include "../Operator/Configuration.h"
+#include "Answer.h"
+#include "SearchRequest.h"
+
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace pimentopoint {
+
+/// \class RequestJournal
+/// \ingroup Caller
+/// \brief What became of requests: metrics, service levels, and an explanation of each of the latest.
+class RequestJournal {
+public:
+    explicit RequestJournal(Metrics& metrics)
+        : m_metrics(metrics)
+    {
+    }
+
+    /// \brief Notes \a answer to \a request.
+    /// \param id names the request in explanations
+    /// \param front its search front, or null if there is none
+    void record(const SearchRequest& request, const Answer& answer, const std::string& id, const SearchFront* front, Duration latency, Instant now);
+    /// \returns the service levels of the search fronts in \a configuration as JSON
+    std::string burnReport(const Configuration* configuration, Instant now) const;
+    /// \returns what is known of the request \a id as JSON; empty if nothing is
+    std::string explain(const std::string& id) const;
+
+private:
+    void count(const SearchRequest& request, const Answer& answer, Duration latency);
+    void remember(const std::string& id, const std::string& explanation);
+
+    Metrics& m_metrics;
+    mutable std::mutex m_burnMutex;
+    std::map<SearchFrontName, BurnWindows> m_burn;
+    mutable std::mutex m_explainMutex;
+    std::map<std::string, std::string> m_explanations;
+    std::deque<std::string> m_explanationOrder;
+};
+
+} // namespace pimentopoint
--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -42,6 +42,7 @@
 constexpr double millisecondsForQuery = 59;
 // What the page assumes of a node and of a target of today's largest kinds.
 constexpr double coresPerNode = 8;
+constexpr std::size_t gatewaysInDataCentre = 107; // Every node runs a front and a gateway.
 constexpr double slotsPerTarget = 6;
 constexpr double connectionsPerTarget = 50;
 
@@ -256,11 +257,11 @@
 DocumentFigures measureDocuments()
 {
     DocumentFigures figures;
-    std::cout << "### Configuration\n\nOne document with targets in threes as shards, 250 shards a group, 54 gateways a data centre.\n\n";
+    std::cout << "### Configuration\n\nOne document with targets in threes as shards, 250 shards a group, 107 gateways a data centre.\n\n";
     row({ "targets", "document KB", "read ms", "heap KB", "KB sent per change", "shares ms" });
     row({ "---", "---", "---", "---", "---", "---" });
     for (std::size_t targets : { 300U, 1000U, 2000U, 3100U }) {
-        std::string text = configurationOf(targets, 1, 54);
+        std::string text = configurationOf(targets, 1, gatewaysInDataCentre);
         HeapUse heapBefore = heapUse();
         double cpu = threadSeconds();
         ConfigurationPointer configuration = readConfiguration(text);
@@ -272,7 +273,7 @@
         DocumentStore behind;
         DocumentStore ahead;
         behind.offer(DocumentKind::Configuration, text);
-        ahead.offer(DocumentKind::Configuration, configurationOf(targets, 2, 54, true));
+        ahead.offer(DocumentKind::Configuration, configurationOf(targets, 2, gatewaysInDataCentre, true));
         DocumentRequest request = behind.request(DocumentKind::Configuration);
         double transfer = static_cast<double>(encodeFrame(request).size() + encodeFrame(ahead.reply(request)).size());
         double size = static_cast<double>(targets);
@@ -352,7 +353,7 @@
 
 void measureFront(SubQueryFigures& figures)
 {
-    ConfigurationPointer configuration = readConfiguration(configurationOf(3100, 1, 54));
+    ConfigurationPointer configuration = readConfiguration(configurationOf(3100, 1, gatewaysInDataCentre));
     std::vector<MemberRecord> gateways;
     for (const DataCentre& dataCentre : configuration->dataCentres()) {
         for (const MemberName& name : dataCentre.gateways()) {
@@ -361,7 +362,7 @@
             gateways.push_back(record.setEndpoints({ "10.0.0.1", port }, { "10.0.0.1", port }, { "10.0.0.1", port }));
         }
     }
-    std::cout << "### Front, processor time of the decisions with the coding of frames\n\nQueries of 250 shards over 3,100 targets and 378 gateways, every reply in time.\n\n";
+    std::cout << "### Front, processor time of the decisions with the coding of frames\n\nQueries of 250 shards over 3,100 targets and 749 gateways, every reply in time.\n\n";
     row({ "sub-queries answered", "core s", "us per sub-query", "allocations per sub-query" });
     row({ "---", "---", "---", "---" });
     ManualClock clock;
@@ -585,7 +586,8 @@
     double perNode = subQueriesPerSecond / nodes;
     double frontMicroseconds = sub.frontSeconds.slope() * 1e6;
     double gatewayMicroseconds = sub.gatewaySeconds.slope() * 1e6 + sub.exchangeSeconds * 1e6;
-    double gateways = nodes / 2;
+    double gateways = nodes;
+    double exchangesPerThread = 1 / sub.exchangeSeconds;
     double gatewaysPerDataCentre = gateways / dataCentres;
     double serversPerDataCentre = servers / dataCentres;
     // A home data centre holds one of three replicas of a shard for 7 data centres in 3 of 7 cases; the rest is asked next door.
@@ -621,6 +623,8 @@
     row({ "gateway with exchange, us of a core per sub-query", number(gatewayMicroseconds, 2), "", "slopes", "", "" });
     row({ "cores a node, both roles", number(cores), number(coresPerNode, 0), "sum x rate", margin(cores, coresPerNode), verdict(cores <= coresPerNode) });
     row({ "queries a second that 750 nodes of 8 cores carry", number(carried, 0), number(queriesPerSecond, 0), "8 cores / sum", number(carried / queriesPerSecond, 2) + "x", verdict(carried >= queriesPerSecond) });
+    row({ "exchanges a second of a gateway's one client thread", number(exchangesPerThread, 0), number(perNode, 0), "slope", number(exchangesPerThread / perNode, 2) + "x", verdict(exchangesPerThread >= perNode) });
+    row({ "queries a second at which that thread is full", number(exchangesPerThread * nodes / shardsPerQuery, 0), number(queriesPerSecond, 0), "thread x 750 / 250", number(exchangesPerThread * nodes / shardsPerQuery / queriesPerSecond, 2) + "x", verdict(exchangesPerThread * nodes / shardsPerQuery >= queriesPerSecond) });
     row({ "gateways that one query meets", number(gatewaysPerQuery, 0), "", "3 data centres' gateways, at most one a shard", "", "" });
     row({ "sub-queries in a batch", number(batchSize, 2), "", "250 / gateways met", "", "" });
     row({ "bytes per sub-query between processes", number(wireBytes, 0), "", "line at the batch size", "", "" });
