--- a/Pimentopoint/src/Caller/FrontEngine.cpp
+++ b/Pimentopoint/src/Caller/FrontEngine.cpp
@@ -15,8 +15,6 @@
     constexpr std::uint64_t attemptMask = (std::uint64_t(1) << attemptBits) - 1;
     /// Marks the frame tags of requests passed on.
     constexpr std::uint64_t callTag = std::uint64_t(1) << 63;
-    constexpr Duration ticketLifetime = std::chrono::minutes(2);
-    constexpr std::size_t ticketCapacity = 200000;
     /// Deadline of a request whose search front this process does not know.
     constexpr Duration unknownFrontDeadline = std::chrono::seconds(1);
 
