--- a/Pimentopoint/src/Operator/DocumentReader.cpp
+++ b/Pimentopoint/src/Operator/DocumentReader.cpp
@@ -43,8 +43,8 @@
     return std::string(*std::min_element(known.begin(), known.end(), closer));
 }
 
-DocumentReader::DocumentReader(YAML::Node node, std::string path, Problems& problems)
-    : m_node(std::move(node))
+DocumentReader::DocumentReader(const YAML::Node& node, std::string path, Problems& problems)
+    : m_node(node)
     , m_path(std::move(path))
     , m_problems(problems)
 {
--- a/Pimentopoint/src/Operator/DocumentReader.h
+++ b/Pimentopoint/src/Operator/DocumentReader.h
@@ -24,7 +24,7 @@
     using ItemHook = std::function<void(DocumentReader&)>;
     using ScalarHook = std::function<void(const std::string& value, int line, const std::string& path)>;
 
-    DocumentReader(YAML::Node node, std::string path, Problems& problems);
+    DocumentReader(const YAML::Node& node, std::string path, Problems& problems);
 
     /// Notes a problem for every key that is not in \a keys, with the nearest that is.
     void allowKeys(std::initializer_list<std::string_view> keys);
--- a/Pimentopoint/src/Target/TargetClient.cpp
+++ b/Pimentopoint/src/Target/TargetClient.cpp
@@ -4,7 +4,6 @@
 #include "TargetProtocol.h"
 
 #include <algorithm>
-#include <cstring>
 #include <curl/curl.h>
 
 namespace pimentopoint {
@@ -39,7 +38,7 @@
     {
         auto& transfer = *static_cast<Transfer*>(context);
         std::size_t length = std::min(size * count, transfer.request.size() - transfer.requestOffset);
-        std::memcpy(buffer, transfer.request.data() + transfer.requestOffset, length);
+        std::copy_n(transfer.request.data() + transfer.requestOffset, length, buffer);
         transfer.requestOffset += length;
         return length;
     }
