Free nothing that need not be allocated in the stand-in target

Cause: AddressSanitizer's leak check reported 44 bytes in 44 allocations, one for each connection to the stand-in target. Ruled out: the daemons. Change: a connection is marked by an address instead of an allocation.

--- a/standins/StandinTarget.cpp
+++ b/standins/StandinTarget.cpp
@@ -11,6 +11,8 @@
 
     constexpr int handled = 200;
     constexpr unsigned coldFactor = 5;
+    /// Marks a connection that has carried no request yet.
+    char freshConnection = 0;
     /// Distinct queries whose runs are remembered.
     constexpr std::size_t maxRememberedQueries = 100000;
 
@@ -77,7 +79,7 @@
     auto* self = static_cast<StandinTarget*>(mg_get_user_data(mg_get_context(connection)));
     std::lock_guard lock(self->m_mutex);
     ++self->m_connections;
-    *data = new bool(true);
+    *data = &freshConnection;
     return 0;
 }
 
@@ -124,10 +126,8 @@
         return respond(connection, 400, "{}");
     const std::string attempt = request.at("attempt");
     const std::string query = request.at("query");
-    auto* fresh = static_cast<bool*>(mg_get_user_connection_data(connection));
-    bool newConnection = fresh && *fresh;
-    if (fresh)
-        *fresh = false;
+    bool newConnection = mg_get_user_connection_data(connection) == &freshConnection;
+    mg_set_user_connection_data(connection, nullptr);
     std::unique_lock lock(m_mutex);
     ++m_requests;
     auto refuse = [&](const char* reason) {
