Give test daemons ports that no outgoing connection can take

Ports were picked by binding port 0 and closing, in the range of outgoing connections, and bound by the daemon later; in between a connection or a second pick took them. Reproduced: 8 processes of tests at once, 96 runs, 3 failed, and the logs of the missing daemons say "bind: Address already in use" and "cannot listen on". Ruled out: the deadline passing on a slow machine (no run under 8-fold load failed with all daemons there); the two platform threads (a document from a member waits up to 2 s behind both watches, not 60 s). A third thread is added for that wait all the same, as the time in force is bounded. Change: ports below the kernel's range, none twice in a process, free for TCP and UDP; a fleet throws with the daemon's log when one ends at its start; logs and settings of the daemons no longer stay in the temporary folder. The checks and their bounds are unchanged.

--- a/Pimentopoint/src/Peer/ControlPlane.cpp
+++ b/Pimentopoint/src/Peer/ControlPlane.cpp
@@ -17,7 +17,8 @@
     constexpr Duration documentRequestInterval = std::chrono::milliseconds(50);
     constexpr Duration conflictLogInterval = std::chrono::seconds(10);
     constexpr std::size_t ioThreads = 3;
-    constexpr std::size_t platformThreads = 2;
+    /// One for each of two waiting watches, and one for documents that members send meanwhile.
+    constexpr std::size_t platformThreads = 3;
 
     MemberRecord selfRecord(const Settings& settings, MemberRole role, Incarnation incarnation)
     {
--- a/test/Ports.h
+++ b/test/Ports.h
@@ -4,23 +4,43 @@
 
 #include <Pimentopoint/Core>
 #include <arpa/inet.h>
+#include <atomic>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
 namespace pimentopoint::test {
 
-/// \returns an endpoint on 127.0.0.1 that was free a moment ago
-inline Endpoint freeEndpoint()
+/// Below the range from which the kernel takes the ports of outgoing connections, so that none of them is in the way of
+/// a process that binds its port later.
+constexpr std::uint16_t firstTestPort = 12000;
+constexpr std::uint16_t testPorts = 20000;
+
+/// \returns whether a socket of \a type can be bound to \a port
+inline bool canBind(int type, std::uint16_t port)
 {
-    int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    int socket = ::socket(AF_INET, type, 0);
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t length = sizeof address;
-    getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
+    address.sin_port = htons(port);
+    bool bound = bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
     close(socket);
-    return { "127.0.0.1", ntohs(address.sin_port) };
+    return bound;
+}
+
+/// \returns an endpoint on 127.0.0.1 that is free for TCP and UDP and that no earlier call in this process returned
+inline Endpoint freeEndpoint()
+{
+    // Test processes that run at the same time begin far from each other.
+    constexpr unsigned step = 397;
+    static std::atomic<unsigned> next { static_cast<unsigned>(getpid()) * step };
+    for (unsigned tries = 0; tries < testPorts; ++tries) {
+        auto port = static_cast<std::uint16_t>(firstTestPort + next++ % testPorts);
+        if (canBind(SOCK_STREAM, port) && canBind(SOCK_DGRAM, port))
+            return { "127.0.0.1", port };
+    }
+    throw std::runtime_error("no port is free for the tests");
 }
 
 } // namespace pimentopoint::test
--- a/test/ProcessFleet.cpp
+++ b/test/ProcessFleet.cpp
@@ -11,6 +11,8 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <spawn.h>
+#include <sstream>
+#include <stdexcept>
 #include <sys/wait.h>
 #include <thread>
 
@@ -72,6 +74,8 @@
     (void)curlReady;
     std::string pattern = (std::filesystem::temp_directory_path() / "pimentopoint-XXXXXX").string();
     scratch = mkdtemp(pattern.data());
+    m_files = scratch + "-files";
+    std::filesystem::create_directory(m_files);
     m_platformEndpoint = freeEndpoint();
     platform = std::make_unique<standins::StandinPlatform>(m_platformEndpoint, 24);
     for (std::size_t i = 0; i < 2 * shardCount; ++i) {
@@ -86,10 +90,22 @@
         m_processes[name] = { name[0] == 'f' ? "pimentopoint-front" : "pimentopoint-gateway", freeEndpoint(), freeEndpoint(), freeEndpoint(), 0 };
     publish();
     for (const char* name : { "ga", "gb", "fa", "fb" })
-        start(name);
+        spawn(name);
+    try {
+        for (const char* name : { "ga", "gb", "fa", "fb" })
+            waitStarted(name);
+    } catch (...) {
+        endAll();
+        throw;
+    }
 }
 
 ProcessFleet::~ProcessFleet()
+{
+    endAll();
+}
+
+void ProcessFleet::endAll()
 {
     for (auto& [name, process] : m_processes) {
         if (process.pid) {
@@ -106,12 +122,37 @@
     for (std::thread& stop : stops)
         stop.join();
     std::filesystem::remove_all(scratch);
+    std::filesystem::remove_all(m_files);
 }
 
 void ProcessFleet::start(const std::string& name)
+{
+    spawn(name);
+    waitStarted(name);
+}
+
+void ProcessFleet::waitStarted(const std::string& name)
+{
+    Process& process = m_processes.at(name);
+    int status = 0;
+    bool ended = false;
+    bool started = eventually([&] {
+        ended = !process.pid || waitpid(process.pid, &status, WNOHANG) == process.pid;
+        return ended || running(name);
+    });
+    if (started && !ended)
+        return;
+    if (ended)
+        process.pid = 0;
+    std::stringstream text;
+    text << std::ifstream(log(name)).rdbuf();
+    throw std::runtime_error(name + " did not start; its log: " + text.str());
+}
+
+void ProcessFleet::spawn(const std::string& name)
 {
     Process& process = m_processes.at(name);
-    std::string settings = scratch + "-" + name + ".yaml";
+    std::string settings = m_files + "/" + name + ".yaml";
     std::ofstream(settings) << "name: " << name << "\ndataCentre: " << (name[1] == 'b' ? "b" : "a") << "\nlisten: {http: " << process.http.text()
                             << ", tcp: " << process.tcp.text() << ", udp: " << process.udp.text() << "}\nmembers: [" << udp("fa").text() << ", " << udp("gb").text()
                             << "]\nplatform: " << m_platformEndpoint.text() << "\nthreads: 24\n";
@@ -124,8 +165,7 @@
     setenv("TMPDIR", scratch.c_str(), 1);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    std::string log = scratch + "-" + name + ".log";
-    posix_spawn_file_actions_addopen(&actions, 2, log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+    posix_spawn_file_actions_addopen(&actions, 2, log(name).c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
     if (posix_spawn(&process.pid, program.c_str(), &actions, nullptr, arguments.data(), environ))
         process.pid = 0;
     posix_spawn_file_actions_destroy(&actions);
--- a/test/ProcessFleet.h
+++ b/test/ProcessFleet.h
@@ -35,6 +35,8 @@
     ProcessFleet(const ProcessFleet&) = delete;
     ProcessFleet& operator=(const ProcessFleet&) = delete;
 
+    /// \brief Starts a daemon and waits until it answers.
+    /// \throws std::runtime_error with its log if it ended before
     void start(const std::string& name);
     void signal(const std::string& name, int signal);
     /// Waits for the end of \a name; \returns its exit code, or -1 if a signal ended it
@@ -60,6 +62,8 @@
     std::uint64_t version = 0;
     std::uint64_t hostsVersion = 0;
     std::string scratch; ///< Temporary folder of the daemons.
+    /// \returns the file that takes the log of \a name
+    std::string log(const std::string& name) const { return m_files + "/" + name + ".log"; }
 
 private:
     struct Process {
@@ -70,6 +74,11 @@
         pid_t pid = 0;
     };
 
+    void endAll();
+    void spawn(const std::string& name);
+    void waitStarted(const std::string& name);
+
+    std::string m_files; ///< Folder of the daemons' settings and logs.
     std::vector<Endpoint> m_targetEndpoints;
     Endpoint m_platformEndpoint;
     std::map<std::string, Process> m_processes;
--- a/test/Processes.cpp
+++ b/test/Processes.cpp
@@ -305,7 +305,7 @@
     CHECK(fleet.running("ga"));
     CHECK(fleet.waitWhole("fa"));
     CHECK(std::filesystem::is_empty(fleet.scratch));
-    std::ifstream log(fleet.scratch + "-fa.log");
+    std::ifstream log(fleet.log("fa"));
     for (std::string line; std::getline(log, line);) {
         auto parsed = nlohmann::json::parse(line, nullptr, false);
         REQUIRE_FALSE(parsed.is_discarded());
