--- a/Pimentopoint/src/Core/Log.cpp
+++ b/Pimentopoint/src/Core/Log.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
 #include <ctime>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -69,6 +70,9 @@
 
 void Log::start(const std::string& program, const MemberName& host, const DataCentreName& dataCentre, Severity least)
 {
+    // With no zone named, the C library reads it anew for each line that glog stamps.
+    setenv("TZ", ":/etc/localtime", 0);
+    tzset();
     for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
         google::SetLogDestination(severity, "");
     FLAGS_logtostderr = false;
--- a/test/ProcessFleet.cpp
+++ b/test/ProcessFleet.cpp
@@ -3,6 +3,7 @@
 #include "Ports.h"
 
 #include <Pimentopoint/Operator>
+#include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <curl/curl.h>
@@ -114,6 +115,8 @@
             wait(name);
         }
     }
+    for (const auto& [name, process] : m_processes)
+        checkLog(name);
     // Each takes seconds to stop its threads.
     std::vector<std::thread> stops;
     for (auto& target : targets)
@@ -125,6 +128,21 @@
     std::filesystem::remove_all(m_files);
 }
 
+void ProcessFleet::checkLog(const std::string& name)
+{
+    std::ifstream file(log(name));
+    for (std::string line; std::getline(file, line);) {
+        bool found = line.find("Sanitizer") != std::string::npos || line.find("runtime error:") != std::string::npos;
+        if (!found)
+            continue;
+        std::stringstream report;
+        report << file.rdbuf();
+        FAIL_CHECK(name << " was found faulty by a sanitizer: " << line << "\n"
+                        << report.str());
+        return;
+    }
+}
+
 void ProcessFleet::start(const std::string& name)
 {
     spawn(name);
--- a/test/ProcessFleet.h
+++ b/test/ProcessFleet.h
@@ -76,6 +76,8 @@
 
     void endAll();
     void spawn(const std::string& name);
+    /// Reports what a sanitizer wrote to the log of \a name.
+    void checkLog(const std::string& name);
     void waitStarted(const std::string& name);
 
     std::string m_files; ///< Folder of the daemons' settings and logs.
