--- /dev/null
+++ b/bench/BenchFleet.cpp
@@ -0,0 +1,168 @@
+#include "BenchFleet.h"
+
+#include "Callers.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <spawn.h>
+#include <sstream>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <thread>
+
+extern char** environ;
+
+namespace pimentopoint::bench {
+
+namespace {
+
+    constexpr std::uint16_t firstPort = 27000;
+    constexpr std::uint16_t portsOfDaemon = 3;
+    constexpr unsigned platformThreads = 64;
+    /// Threads for what is not a search.
+    constexpr unsigned spareThreads = 16;
+
+    double seconds(const timeval& time)
+    {
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) * 1e-6;
+    }
+
+    double sumOf(const std::string& metrics, const std::string& name)
+    {
+        double sum = 0;
+        std::istringstream lines(metrics);
+        for (std::string line; std::getline(lines, line);) {
+            if (line.starts_with(name + "{"))
+                sum += std::stod(line.substr(line.rfind(' ')));
+        }
+        return sum;
+    }
+
+} // namespace
+
+BenchFleet::BenchFleet(const Configuration& configuration, const std::string& text, const ShardGroup& group, Duration service, unsigned concurrency)
+    : m_platformEndpoint("127.0.0.1", firstPort)
+    , m_nextPort(firstPort + 1)
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "pimentopoint-bench-XXXXXX").string();
+    m_scratch = mkdtemp(pattern.data());
+    std::set<TargetId> asked;
+    for (const Shard& shard : group.shards())
+        asked.insert(shard.replicas().begin(), shard.replicas().end());
+    for (const Target& target : configuration.targets()) {
+        const TargetSet& limits = configuration.limits(target);
+        standins::TargetBehaviour behaviour;
+        behaviour.name = target.name().value();
+        behaviour.slots = limits.slots();
+        behaviour.shedAt = 2 * concurrency;
+        behaviour.coldLimit = limits.coldLimit();
+        behaviour.service = service;
+        behaviour.connectTime = limits.connectTime();
+        unsigned threads = asked.contains(target.id()) ? concurrency + spareThreads : 2;
+        targets[target.id()] = std::make_unique<standins::StandinTarget>(target.endpoint(), behaviour, threads);
+    }
+    platform = std::make_unique<standins::StandinPlatform>(m_platformEndpoint, platformThreads);
+    platform->publish("configuration", configuration.version().value(), text);
+    for (const DataCentre& dataCentre : configuration.dataCentres()) {
+        for (const MemberName& gateway : dataCentre.gateways())
+            add("bench-gateway", gateway.value(), dataCentre.name().value());
+        fronts.push_back(add("bench-front", dataCentre.name().value() + "-front", dataCentre.name().value()));
+    }
+}
+
+BenchFleet::~BenchFleet()
+{
+    stopDaemons();
+    std::vector<std::thread> stops;
+    for (auto& [id, target] : targets)
+        stops.emplace_back([&target = target] { target.reset(); });
+    for (std::thread& stop : stops)
+        stop.join();
+    std::filesystem::remove_all(m_scratch);
+}
+
+Endpoint BenchFleet::add(const std::string& program, const std::string& name, const std::string& dataCentre)
+{
+    std::uint16_t port = m_nextPort;
+    m_nextPort = static_cast<std::uint16_t>(m_nextPort + portsOfDaemon);
+    m_daemons[name] = { program, dataCentre, port, 0 };
+    auto address = [](int number) { return "127.0.0.1:" + std::to_string(number); };
+    std::ofstream(file(name, ".yaml")) << "name: " << name << "\ndataCentre: " << dataCentre << "\nlisten: {http: " << address(port) << ", tcp: " << address(port + 1)
+                                       << ", udp: " << address(port + 2) << "}\nmembers: [" << address(firstPort + portsOfDaemon) << ", "
+                                       << address(firstPort + 2 * portsOfDaemon) << "]\nplatform: " << m_platformEndpoint.text() << "\nlogLevel: error\nthreads: 256\n";
+    start(name);
+    return { "127.0.0.1", port };
+}
+
+void BenchFleet::start(const std::string& name)
+{
+    Daemon& daemon = m_daemons.at(name);
+    std::string path = (std::filesystem::read_symlink("/proc/self/exe").parent_path() / daemon.program).string();
+    std::vector<std::string> words { path, "--settings", file(name, ".yaml") };
+    std::vector<char*> arguments;
+    for (std::string& word : words)
+        arguments.push_back(word.data());
+    arguments.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 2, file(name, ".log").c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0600);
+    if (posix_spawn(&daemon.pid, path.c_str(), &actions, nullptr, arguments.data(), environ))
+        daemon.pid = 0;
+    posix_spawn_file_actions_destroy(&actions);
+}
+
+void BenchFleet::signal(const std::string& name, int signal)
+{
+    pid_t pid = m_daemons.at(name).pid;
+    if (pid)
+        kill(pid, signal);
+}
+
+int BenchFleet::wait(const std::string& name)
+{
+    Daemon& daemon = m_daemons.at(name);
+    if (!daemon.pid)
+        return -1;
+    int status = 0;
+    rusage usage {};
+    wait4(daemon.pid, &status, 0, &usage);
+    daemon.pid = 0;
+    m_use.coreSeconds += seconds(usage.ru_utime) + seconds(usage.ru_stime);
+    std::ifstream log(file(name, ".log"));
+    const std::string key = "allocations ";
+    for (std::string line; std::getline(log, line);) {
+        if (line.starts_with(key))
+            m_use.allocations += std::stoull(line.substr(key.size()));
+    }
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void BenchFleet::restart(const std::string& name)
+{
+    start(name);
+}
+
+DaemonUse BenchFleet::stopDaemons()
+{
+    for (const auto& [name, daemon] : m_daemons)
+        signal(name, SIGTERM);
+    for (const auto& [name, daemon] : m_daemons)
+        wait(name);
+    return m_use;
+}
+
+FrontCounts BenchFleet::counts() const
+{
+    FrontCounts counts;
+    for (const Endpoint& front : fronts) {
+        std::string metrics = fetch(front, "/metrics");
+        counts.firstSends += sumOf(metrics, "pimentopoint_first_sends_total");
+        counts.extraSends += sumOf(metrics, "pimentopoint_hedges_total") + sumOf(metrics, "pimentopoint_retries_total");
+    }
+    return counts;
+}
+
+} // namespace pimentopoint::bench
--- /dev/null
+++ b/bench/BenchFleet.h
@@ -0,0 +1,73 @@
+/// \file
+/// Real daemons with stand-ins, as the benches start them.
+#pragma once
+
+#include "../standins/StandinPlatform.h"
+#include "../standins/StandinTarget.h"
+
+#include <Pimentopoint/Operator>
+#include <map>
+#include <memory>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace pimentopoint::bench {
+
+/// What the daemons took together from their start to their end.
+struct DaemonUse {
+    double coreSeconds = 0;
+    std::uint64_t allocations = 0;
+};
+
+/// Sums of the fronts' counters.
+struct FrontCounts {
+    double firstSends = 0;
+    double extraSends = 0;
+};
+
+/// \class BenchFleet
+/// \brief The gateways of a configuration, a front in each data centre, and stand-ins for the targets and the platform.
+class BenchFleet {
+public:
+    /// \param group the shard group that is asked; its targets get threads for \a concurrency requests at once
+    BenchFleet(const Configuration& configuration, const std::string& text, const ShardGroup& group, Duration service, unsigned concurrency);
+    ~BenchFleet();
+    BenchFleet(const BenchFleet&) = delete;
+    BenchFleet& operator=(const BenchFleet&) = delete;
+
+    /// \returns what all fronts have counted so far
+    FrontCounts counts() const;
+    /// Sends \a signal to the daemon \a name.
+    void signal(const std::string& name, int signal);
+    /// Waits for the end of \a name. \returns its exit code, or -1 if a signal ended it
+    int wait(const std::string& name);
+    /// Starts \a name anew after its end.
+    void restart(const std::string& name);
+    /// Stops all daemons. \returns what they took
+    DaemonUse stopDaemons();
+
+    std::map<TargetId, std::unique_ptr<standins::StandinTarget>> targets;
+    std::unique_ptr<standins::StandinPlatform> platform;
+    std::vector<Endpoint> fronts;
+
+private:
+    struct Daemon {
+        std::string program;
+        std::string dataCentre;
+        std::uint16_t port = 0; ///< HTTP; TCP and UDP follow.
+        pid_t pid = 0;
+    };
+
+    Endpoint add(const std::string& program, const std::string& name, const std::string& dataCentre);
+    void start(const std::string& name);
+    std::string file(const std::string& name, const char* extension) const { return m_scratch + "/" + name + extension; }
+
+    Endpoint m_platformEndpoint;
+    std::string m_scratch;
+    std::uint16_t m_nextPort;
+    std::map<std::string, Daemon> m_daemons;
+    DaemonUse m_use;
+};
+
+} // namespace pimentopoint::bench
--- /dev/null
+++ b/bench/FaultBench.cpp
@@ -0,0 +1,288 @@
+/// \file
+/// What callers see while processes stop, die and freeze and operators change things: real processes, one run.
+#include "BenchFleet.h"
+#include "OpenLoad.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <curl/curl.h>
+#include <docopt/docopt.h>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+using namespace pimentopoint;
+using namespace pimentopoint::bench;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* usage = R"(Counts what callers see over planned stops, kills, freezes and operators' changes.
+
+Usage:
+  FaultBench --configuration FILE --front NAME [--load SHARE] [--service US]
+  FaultBench --help
+
+Options:
+  --configuration FILE  A published configuration whose targets are on 127.0.0.1; its first data centre takes the faults.
+  --front NAME          The search front to ask.
+  --load SHARE          Offered load over the capacity of the shard group's targets [default: 0.2].
+  --service US          Service time of a target [default: 20000].
+  --help                Show this text.
+)";
+
+constexpr unsigned loadThreads = 64;
+constexpr Duration startTime = 4s;
+constexpr Duration warmUp = 9s;
+/// Load before each event, and at least so much after it.
+constexpr Duration before = 2s;
+constexpr Duration eventLength = 10s;
+constexpr Duration probeInterval = 100ms;
+/// Time after which work at a target cannot be older than the news.
+constexpr Duration spread = 11s;
+
+/// \class Balancer
+/// \brief Sends callers to the fronts whose probe says that they serve, as the balancer before them does.
+class Balancer {
+public:
+    explicit Balancer(std::vector<Endpoint> fronts)
+        : m_fronts(std::move(fronts))
+        , m_healthy(m_fronts.size())
+        , m_thread([this] { run(); })
+    {
+    }
+    ~Balancer()
+    {
+        m_stop = true;
+        m_thread.join();
+    }
+    Balancer(const Balancer&) = delete;
+    Balancer& operator=(const Balancer&) = delete;
+
+    /// \returns the number of the front for \a query
+    std::size_t choose(std::uint64_t query) const
+    {
+        for (std::size_t i = 0; i < m_fronts.size(); ++i) {
+            std::size_t candidate = (query + i) % m_fronts.size();
+            if (m_healthy[candidate])
+                return candidate;
+        }
+        return query % m_fronts.size();
+    }
+
+private:
+    void run()
+    {
+        while (!m_stop) {
+            for (std::size_t i = 0; i < m_fronts.size(); ++i)
+                m_healthy[i] = fetch(m_fronts[i], "/healthz").find("\"serving\"") != std::string::npos;
+            std::this_thread::sleep_for(probeInterval);
+        }
+    }
+
+    std::vector<Endpoint> m_fronts;
+    std::vector<std::atomic<bool>> m_healthy;
+    std::atomic<bool> m_stop { false };
+    std::thread m_thread;
+};
+
+/// \class Scene
+/// \brief A fleet under steady load, to which things happen.
+class Scene {
+public:
+    Scene(ConfigurationPointer configuration, std::string text, const SearchFront& front, double load, Duration service)
+        : m_configuration(std::move(configuration))
+        , m_text(std::move(text))
+        , m_front(front)
+        , m_group(m_configuration->shardGroups()[front.shardGroup()])
+        , m_fleet(*m_configuration, m_text, m_group, service, loadThreads)
+        , m_balancer(m_fleet.fronts)
+    {
+        double slots = 0;
+        for (TargetId id : asked())
+            slots += m_configuration->limits(*m_configuration->target(id)).slots();
+        m_rate = load * slots / std::chrono::duration<double>(service).count() / static_cast<double>(m_group.shards().size());
+        std::this_thread::sleep_for(startTime);
+        run(warmUp);
+    }
+
+    BenchFleet& fleet() { return m_fleet; }
+    std::string gateway() const { return dataCentre().gateways().front().value(); }
+    std::string front() const { return dataCentre().name().value() + "-front"; }
+
+    /// Runs load, lets \a event happen in it, and prints a row.
+    void show(const char* name, Duration length, const std::function<std::string()>& event)
+    {
+        std::string note;
+        std::thread happening([&] {
+            std::this_thread::sleep_for(before);
+            note = event();
+        });
+        Sample sample = run(length);
+        happening.join();
+        auto count = [&](Ending ending) { return static_cast<unsigned long long>(sample.count(ending)); };
+        std::printf("| %s | %zu | %.1f | %.1f | %.5f | %llu | %llu | %llu | %llu | %s |\n", name, sample.milliseconds.size(), sample.quantile(0.5), sample.quantile(0.99),
+            sample.coverage, count(Ending::Partial), count(Ending::Refused), count(Ending::Unknown), count(Ending::Unanswered), note.c_str());
+        std::fflush(stdout);
+    }
+
+    /// Publishes the configuration with the first data centre out or in.
+    void publishTakenOut(bool out)
+    {
+        std::string text = m_text;
+        replace(text, "version: 1", "version: " + std::to_string(++m_version));
+        std::string name = "name: " + dataCentre().name().value();
+        std::size_t at = text.find(name);
+        std::size_t state = text.find("state: in", at);
+        if (out)
+            text.replace(state, std::string("state: in").size(), "state: out");
+        m_fleet.platform->publish("configuration", m_version, text);
+    }
+
+    void publishLeaving(const std::string& target)
+    {
+        std::string list = target.empty() ? "[]" : "[{name: " + target + ", state: leaving}]";
+        ++m_hostsVersion;
+        m_fleet.platform->publish("hosts", m_hostsVersion, "version: " + std::to_string(m_hostsVersion) + "\nhosts: " + list + "\n");
+    }
+
+    /// \returns the asked targets of the first data centre
+    std::vector<TargetId> local() const
+    {
+        std::vector<TargetId> found;
+        for (TargetId id : asked()) {
+            if (m_configuration->target(id)->dataCentre() == dataCentre().name())
+                found.push_back(id);
+        }
+        return found;
+    }
+    std::string nameOf(TargetId id) const { return m_configuration->target(id)->name().value(); }
+
+    /// \returns after the spread, how long after \a published the last work reached one of \a targets
+    std::string lastWork(const std::vector<TargetId>& targets, Instant published)
+    {
+        std::this_thread::sleep_for(spread);
+        Duration longest { 0 };
+        for (TargetId id : targets)
+            longest = std::max(longest, m_fleet.targets.at(id)->lastRequest() - published);
+        char text[64];
+        std::snprintf(text, sizeof text, "last new work %.2f s after publication", std::chrono::duration<double>(longest).count());
+        return text;
+    }
+
+private:
+    const DataCentre& dataCentre() const { return m_configuration->dataCentres().front(); }
+
+    static void replace(std::string& text, const std::string& what, const std::string& by)
+    {
+        std::size_t at = text.find(what);
+        if (at != std::string::npos)
+            text.replace(at, what.size(), by);
+    }
+
+    std::vector<TargetId> asked() const
+    {
+        std::vector<TargetId> all;
+        for (const Shard& shard : m_group.shards())
+            all.insert(all.end(), shard.replicas().begin(), shard.replicas().end());
+        return all;
+    }
+
+    Sample run(Duration length)
+    {
+        return offer(m_rate, length, loadThreads, [this](unsigned) -> Asker {
+            auto callers = std::make_shared<std::vector<std::unique_ptr<FrontCaller>>>();
+            for (const Endpoint& front : m_fleet.fronts)
+                callers->push_back(std::make_unique<FrontCaller>(front, m_front.name().value()));
+            return [this, callers](std::uint64_t number) { return callers->at(m_balancer.choose(number))->ask(number); };
+        });
+    }
+
+    ConfigurationPointer m_configuration;
+    std::string m_text;
+    const SearchFront& m_front;
+    const ShardGroup& m_group;
+    BenchFleet m_fleet;
+    Balancer m_balancer;
+    double m_rate = 0;
+    std::uint64_t m_version = 1;
+    std::uint64_t m_hostsVersion = 0;
+};
+
+void showProcesses(Scene& scene)
+{
+    BenchFleet& fleet = scene.fleet();
+    auto stopAndStart = [&](const std::string& name) {
+        fleet.signal(name, SIGTERM);
+        int code = fleet.wait(name);
+        fleet.restart(name);
+        return "exit code " + std::to_string(code) + ", started again";
+    };
+    scene.show("nothing", eventLength, [] { return std::string(); });
+    scene.show("planned stop of a gateway", eventLength, [&] { return stopAndStart(scene.gateway()); });
+    scene.show("planned stop of a front", eventLength, [&] { return stopAndStart(scene.front()); });
+    scene.show("gateway killed", eventLength, [&] {
+        fleet.signal(scene.gateway(), SIGKILL);
+        fleet.wait(scene.gateway());
+        std::this_thread::sleep_for(2s);
+        fleet.restart(scene.gateway());
+        return std::string("started again after 2 s");
+    });
+    scene.show("gateway frozen for 3 s", eventLength, [&] {
+        fleet.signal(scene.gateway(), SIGSTOP);
+        std::this_thread::sleep_for(3s);
+        fleet.signal(scene.gateway(), SIGCONT);
+        return std::string();
+    });
+}
+
+void showOperators(Scene& scene)
+{
+    constexpr Duration length = before + spread + 2s;
+    SystemClock clock;
+    std::vector<TargetId> local = scene.local();
+    scene.show("target leaving", length, [&] {
+        Instant published = clock.now();
+        scene.publishLeaving(scene.nameOf(local.front()));
+        return scene.lastWork({ local.front() }, published);
+    });
+    scene.show("target back", eventLength, [&] {
+        scene.publishLeaving("");
+        return std::string();
+    });
+    scene.show("data centre taken out", length, [&] {
+        Instant published = clock.now();
+        scene.publishTakenOut(true);
+        return scene.lastWork(local, published);
+    });
+    scene.show("data centre back", eventLength, [&] {
+        scene.publishTakenOut(false);
+        return std::string();
+    });
+    scene.show("platform out", eventLength, [&] {
+        scene.fleet().platform->setOutage(true);
+        return std::string();
+    });
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto arguments = docopt::docopt(usage, { argv + 1, argv + argc });
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    std::ifstream file(arguments["--configuration"].asString());
+    std::stringstream content;
+    content << file.rdbuf();
+    ConfigurationPointer configuration = readConfiguration(content.str());
+    const SearchFront* front = configuration->searchFront(SearchFrontName(arguments["--front"].asString()));
+    Scene scene(configuration, content.str(), *front, std::stod(arguments["--load"].asString()), Duration(arguments["--service"].asLong()));
+    std::printf("| event | queries | p50 ms | p99 ms | coverage | partial | refused | unknown | unanswered | note |\n"
+                "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    showProcesses(scene);
+    showOperators(scene);
+    return 0;
+}
--- a/standins/StandinTarget.cpp
+++ b/standins/StandinTarget.cpp
@@ -130,6 +130,7 @@
     mg_set_user_connection_data(connection, nullptr);
     std::unique_lock lock(m_mutex);
     ++m_requests;
+    m_lastRequest = m_clock.now();
     auto refuse = [&](const char* reason) {
         lock.unlock();
         respond(connection, 503, json { { "attempt", attempt }, { "notRun", reason } }.dump());
@@ -143,6 +144,7 @@
     Instant start = m_clock.now();
     Instant deadline = start + Duration(request.at("remainingUs").get<std::int64_t>());
     ++m_atWork;
+    m_attempts[attempt] = false;
     m_maxAtWork = std::max(m_maxAtWork, m_atWork);
     bool isCold = cold(start);
     if (isCold)
@@ -154,7 +156,7 @@
     bool crossed = take(m_behaviour.crossed);
     bool garbage = take(m_behaviour.garbage);
     bool drop = take(m_behaviour.drop);
-    auto over = [&] { return m_stopping || m_clock.now() >= deadline || m_cancelled.contains(attempt); };
+    auto over = [&] { return m_stopping || m_clock.now() >= deadline || m_attempts[attempt]; };
     while (m_running >= m_behaviour.slots && !over())
         m_changed.wait_for(lock, std::chrono::milliseconds(5));
     ++m_running;
@@ -163,7 +165,7 @@
         m_changed.wait_for(lock, std::min(end, deadline) - m_clock.now());
     --m_running;
     --m_atWork;
-    m_cancelled.erase(attempt);
+    m_attempts.erase(attempt);
     m_changed.notify_all();
     while (silent && !m_stopping)
         m_changed.wait_for(lock, std::chrono::milliseconds(100));
@@ -193,10 +195,11 @@
     if (!request.is_discarded() && request.contains("attempt")) {
         std::lock_guard lock(self->m_mutex);
         ++self->m_cancels;
-        constexpr std::size_t maxRememberedCancels = 1000;
-        if (self->m_cancelled.size() < maxRememberedCancels)
-            self->m_cancelled.insert(request.at("attempt").get<std::string>());
-        self->m_changed.notify_all();
+        auto found = self->m_attempts.find(request.at("attempt").get<std::string>());
+        if (found != self->m_attempts.end()) {
+            found->second = true;
+            self->m_changed.notify_all();
+        }
     }
     respond(connection, 200, "{}");
     return handled;
@@ -254,6 +257,12 @@
     return m_requests;
 }
 
+Instant StandinTarget::lastRequest() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_lastRequest;
+}
+
 std::uint64_t StandinTarget::runs(const std::string& text) const
 {
     std::lock_guard lock(m_mutex);
--- a/standins/StandinTarget.h
+++ b/standins/StandinTarget.h
@@ -55,6 +55,8 @@
     std::uint32_t maxAtWork() const;
     std::uint32_t maxAtWorkCold() const;
     std::uint64_t requests() const;
+    /// \returns when the latest request for work arrived, on the steady clock
+    Instant lastRequest() const;
     /// \returns how often the query \a text was run
     std::uint64_t runs(const std::string& text) const;
     std::string statsJson() const;
@@ -83,7 +85,8 @@
     std::uint64_t m_requests = 0;
     std::uint64_t m_connections = 0;
     std::uint64_t m_cancels = 0;
-    std::set<std::string> m_cancelled;
+    std::map<std::string, bool> m_attempts; ///< At work; whether each was cancelled.
+    Instant m_lastRequest {};
     std::map<std::string, std::uint64_t> m_runs;
     bool m_stopping = false;
     mg_context* m_context = nullptr;
