Divide the world of the schedules and the capacity bench into files; measure bursts and client threads

Ruled out: changing what either checks; the functions moved as they were. Change: World, WorldProcesses, WorldRequests; bench/capacity with Members, ControlSlopes, DataSlopes; a rack gone, a region cut and back, and a rolling restart are measured; exchanges over 1, 2 and 4 client threads; 400 callers for the path; an ordinary copy of the search front as load behind an urgent one; rates over the time until the last query ended.

--- a/bench/OpenLoad.cpp
+++ b/bench/OpenLoad.cpp
@@ -67,7 +67,7 @@
         thread.join();
     std::sort(all.milliseconds.begin(), all.milliseconds.end());
     all.coverage /= static_cast<double>(std::max<std::size_t>(all.milliseconds.size(), 1));
-    all.seconds = std::chrono::duration<double>(length).count();
+    all.seconds = std::chrono::duration<double>(Clock::now() - begin).count();
     return all;
 }
 
--- a/bench/OpenLoad.h
+++ b/bench/OpenLoad.h
@@ -15,7 +15,7 @@
     std::vector<double> milliseconds; ///< From when each query was due to its end, in ascending order.
     std::array<std::uint64_t, 5> endings {}; ///< By Ending.
     double coverage = 0; ///< Mean.
-    double seconds = 0;
+    double seconds = 0; ///< Until the last query ended.
     std::uint64_t allocations = 0; ///< Of the asking threads.
     double coreSeconds = 0; ///< Of the asking threads.
 
--- a/bench/PathBench.cpp
+++ b/bench/PathBench.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <stdexcept>
 #include <thread>
 
 using namespace pimentopoint;
@@ -28,8 +29,7 @@
   --front NAME           The search front to ask.
   --condition NAME       quiet, straggler, lost, silent, cold [default: quiet].
   --load SHARE           Offered load over the capacity of the shard group's targets [default: 0.5].
-  --background NAME      A second search front over the same shard group, asked at the same time.
-  --background-load SHARE  Its offered load [default: 0].
+  --background-load SHARE  Load of an ordinary copy of the search front, asked at the same time [default: 0].
   --service US           Service time of a target [default: 20000].
   --seconds N            Time of each measurement [default: 6].
   --help                 Show this text.
@@ -38,7 +38,9 @@
   example-nkansah > n.yaml && PathBench --configuration n.yaml --front kitchen-portal --condition straggler
 )";
 
-constexpr unsigned loadThreads = 128;
+constexpr unsigned loadThreads = 400;
+/// Callers of the baseline, each with a connection to every target.
+constexpr unsigned directThreads = 128;
 constexpr Duration startTime = 4s;
 /// Gateways take every target for cold for some seconds; the measurement begins when that is over.
 constexpr Duration warmUp = 9s;
@@ -53,7 +55,6 @@
     const SearchFront* front = nullptr;
     const ShardGroup* group = nullptr;
     std::string condition;
-    std::string background;
     double load = 0;
     double backgroundLoad = 0;
     Duration service { 0 };
@@ -61,18 +62,35 @@
     double capacity = 0; ///< Queries a second.
 };
 
+constexpr const char* copyName = "ordinary-copy";
+
+/// \returns \a text with a copy of the search front \a name that is not urgent
+std::string withOrdinaryCopy(const std::string& text, const std::string& name)
+{
+    const std::string item = "  - name: ";
+    std::size_t begin = text.find(item + name + "\n", text.find("searchFronts:"));
+    if (begin == std::string::npos)
+        throw std::runtime_error("the configuration has no search front " + name);
+    std::size_t end = std::min(text.find(item, begin + 1), text.size());
+    std::string copy = text.substr(begin, end - begin);
+    copy.replace(item.size(), name.size(), copyName);
+    std::size_t urgency = copy.find("urgency: urgent");
+    if (urgency != std::string::npos)
+        copy.replace(urgency, std::string("urgency: urgent").size(), "urgency: ordinary");
+    return text.substr(0, end) + copy + text.substr(end);
+}
+
 Plan readPlan(std::map<std::string, docopt::value>& arguments)
 {
     Plan plan;
     std::ifstream file(arguments["--configuration"].asString());
     std::stringstream content;
     content << file.rdbuf();
-    plan.text = content.str();
+    plan.text = withOrdinaryCopy(content.str(), arguments["--front"].asString());
     plan.configuration = readConfiguration(plan.text);
     plan.front = plan.configuration->searchFront(SearchFrontName(arguments["--front"].asString()));
     plan.group = &plan.configuration->shardGroups()[plan.front->shardGroup()];
     plan.condition = arguments["--condition"].asString();
-    plan.background = arguments["--background"].isString() ? arguments["--background"].asString() : "";
     plan.load = std::stod(arguments["--load"].asString());
     plan.backgroundLoad = std::stod(arguments["--background-load"].asString());
     plan.service = Duration(arguments["--service"].asLong());
@@ -157,7 +175,7 @@
     double bytesBefore = loopbackBytes();
     std::thread background;
     if (backgroundLoad > 0)
-        background = std::thread([&] { run.background = offer(plan.capacity * backgroundLoad, length, loadThreads, makeAsker(plan.background)); });
+        background = std::thread([&] { run.background = offer(plan.capacity * backgroundLoad, length, loadThreads, makeAsker(copyName)); });
     run.sample = offer(plan.capacity * load, length, loadThreads, makeAsker(plan.front->name().value()));
     if (background.joinable())
         background.join();
@@ -203,7 +221,7 @@
     auto arguments = docopt::docopt(usage, { argv + 1, argv + argc });
     curl_global_init(CURL_GLOBAL_DEFAULT);
     Plan plan = readPlan(arguments);
-    BenchFleet fleet(*plan.configuration, plan.text, *plan.group, plan.service, loadThreads);
+    BenchFleet fleet(*plan.configuration, plan.text, *plan.group, plan.service, directThreads);
     std::this_thread::sleep_for(startTime);
     askPath(fleet, plan, std::min(plan.load, warmUpLoad), warmUp, 0);
     applyCondition(fleet, plan);
@@ -215,7 +233,7 @@
     if (plan.condition != "lost")
         applyCondition(fleet, plan);
     double bytesBefore = loopbackBytes();
-    Sample direct = offer(plan.capacity * (plan.load + plan.backgroundLoad), plan.length, loadThreads, [&](unsigned) -> Asker {
+    Sample direct = offer(plan.capacity * (plan.load + plan.backgroundLoad), plan.length, directThreads, [&](unsigned) -> Asker {
         auto caller = std::make_shared<DirectCaller>(*plan.configuration, *plan.group, plan.front->deadline());
         return [caller](std::uint64_t number) { return caller->ask(number); };
     });
--- /dev/null
+++ b/bench/capacity/ControlSlopes.cpp
@@ -0,0 +1,195 @@
+#include "ControlSlopes.h"
+
+#include "Members.h"
+
+#include <Pimentopoint/Operator>
+#include <Pimentopoint/Platform>
+#include <Pimentopoint/Target>
+#include <iostream>
+
+namespace pimentopoint::bench {
+
+namespace {
+
+    /// What a burst of news took.
+    struct BurstFigure {
+        double seconds = 0;
+        double bytes = 0; ///< Per live member.
+        double busiestSecond = 0;
+        bool settled = false;
+    };
+
+    BurstFigure measureBurst(const char* name, Members& members, Duration longest, const std::function<bool()>& over)
+    {
+        constexpr Duration look = 1s;
+        BurstFigure figure;
+        std::uint64_t before = members.bytes;
+        double count = members.live();
+        for (Duration passed(0); passed < longest; passed += look) {
+            std::uint64_t atStart = members.bytes;
+            members.step(look);
+            figure.busiestSecond = std::max(figure.busiestSecond, 2.0 * static_cast<double>(members.bytes - atStart) / count);
+            figure.seconds += std::chrono::duration<double>(look).count();
+            figure.settled = over();
+            if (figure.settled)
+                break;
+        }
+        figure.bytes = 2.0 * static_cast<double>(members.bytes - before) / count;
+        row({ name, figure.settled ? number(figure.seconds, 0) : "not within " + number(figure.seconds, 0), number(figure.bytes / figure.seconds, 0), number(figure.busiestSecond, 0) });
+        return figure;
+    }
+
+} // namespace
+
+MembershipFigures measureMembership()
+{
+    MembershipFigures figures;
+    std::cout << "### Membership\n\nMembers over an in-memory wire on a manual clock, bytes with 28 of UDP and IP, sent plus received.\n\n";
+    row({ "members", "bytes/s idle", "core idle", "heap KB", "bytes per restart", "bytes per change", "s until the last has a change" });
+    row({ "---", "---", "---", "---", "---", "---", "---" });
+    for (std::size_t count : { 50U, 200U, 400U, 750U }) {
+        Members members(count);
+        constexpr double seconds = 20;
+        double cpu = threadSeconds();
+        members.step(20s);
+        double core = (threadSeconds() - cpu) / seconds / static_cast<double>(count);
+        double idle = 2.0 * static_cast<double>(members.bytes) / seconds / static_cast<double>(count);
+        members.bytes = 0;
+        constexpr std::size_t restarts = 4;
+        for (std::size_t i = 0; i < restarts; ++i) {
+            members.restart(10 + i);
+            members.step(10s);
+        }
+        double perEvent = (2.0 * static_cast<double>(members.bytes) / static_cast<double>(count) - idle * 40) / restarts;
+        members.step(20s);
+        members.bytes = 0;
+        Instant published = members.now();
+        for (std::size_t dataCentre = 0; dataCentre < static_cast<std::size_t>(dataCentres); ++dataCentre)
+            members.setVersion(dataCentre, 7);
+        members.step(10s);
+        double perChange = 2.0 * static_cast<double>(members.bytes) / static_cast<double>(count) - idle * 10;
+        Duration slowest(0);
+        for (Instant adopted : members.adopted)
+            slowest = std::max(slowest, adopted - published);
+        double inForce = static_cast<double>(slowest.count()) * 1e-6;
+        double size = static_cast<double>(count);
+        figures.bytesPerSecond.add(size, idle);
+        figures.coreShare.add(size, core);
+        figures.heapBytes.add(size, members.bytesPerMember);
+        figures.bytesPerEvent.add(size, std::max(perEvent, 0.0));
+        figures.versionBytes.add(size, std::max(perChange, 0.0));
+        figures.secondsInForce.add(size, inForce);
+        row({ std::to_string(count), number(idle, 0), number(core * 100, 4) + "%", number(members.bytesPerMember / 1024), number(perEvent, 0), number(perChange, 0), number(inForce, 2) });
+    }
+    row({ "residual", number(figures.bytesPerSecond.residual() * 100, 0) + "%", number(figures.coreShare.residual() * 100, 0) + "%", number(figures.heapBytes.residual() * 100, 0) + "%",
+        number(figures.bytesPerEvent.residual() * 100, 0) + "%", number(figures.versionBytes.residual() * 100, 0) + "%", number(figures.secondsInForce.residual() * 100, 0) + "%" });
+    std::cout << "\n";
+    return figures;
+}
+
+void measureBursts()
+{
+    std::cout << "### Bursts of membership\n\n750 members over the same wire; bytes a second and member, sent plus received, until every live member agrees.\n\n";
+    row({ "event", "s until all agree", "bytes/s", "bytes in the busiest second" });
+    row({ "---", "---", "---", "---" });
+    constexpr Duration longest = 600s;
+    constexpr std::size_t first = 20;
+    constexpr std::size_t rack = 20;
+    auto count = static_cast<std::size_t>(nodes);
+    {
+        Members members(count);
+        members.end(first, first + rack);
+        measureBurst("a rack of 20 gone", members, longest, [&] { return members.all([&](std::size_t, std::size_t subject) { return subject >= first && subject < first + rack; }, MemberState::Dead); });
+    }
+    Members members(count);
+    auto across = [](std::size_t viewer, std::size_t subject) { return Members::inCutRegion(viewer) != Members::inCutRegion(subject); };
+    members.setCut(true);
+    measureBurst("a region cut", members, longest, [&] { return members.all(across, MemberState::Dead); });
+    members.setCut(false);
+    measureBurst("the region back", members, longest, [&] { return members.all(across, MemberState::Alive); });
+    std::size_t next = 0;
+    // 750 restarts in an hour are one in 4.8 s.
+    constexpr Duration between = 4800ms;
+    std::uint64_t before = members.bytes;
+    constexpr int restarts = 25;
+    for (int i = 0; i < restarts; ++i) {
+        members.restart(100 + next++);
+        members.step(between);
+    }
+    double seconds = restarts * std::chrono::duration<double>(between).count();
+    row({ "a rolling restart within an hour", "", number(2.0 * static_cast<double>(members.bytes - before) / nodes / seconds, 0), "" });
+    std::cout << "\n";
+}
+
+DocumentFigures measureDocuments()
+{
+    DocumentFigures figures;
+    std::cout << "### Configuration\n\nOne document with targets in threes as shards, 250 shards a group, 107 gateways a data centre.\n\n";
+    row({ "targets", "document KB", "read ms", "heap KB", "KB sent per change", "shares ms" });
+    row({ "---", "---", "---", "---", "---", "---" });
+    for (std::size_t targets : { 300U, 1000U, 2000U, 3100U }) {
+        std::string text = configurationOf(targets, 1, gatewaysInDataCentre);
+        HeapUse heapBefore = heapUse();
+        double cpu = threadSeconds();
+        ConfigurationPointer configuration = readConfiguration(text);
+        double read = threadSeconds() - cpu;
+        double heap = static_cast<double>(heapUse().bytes - heapBefore.bytes) + static_cast<double>(text.size());
+        cpu = threadSeconds();
+        ShareTable shares(*configuration);
+        double share = threadSeconds() - cpu;
+        DocumentStore behind;
+        DocumentStore ahead;
+        behind.offer(DocumentKind::Configuration, text);
+        ahead.offer(DocumentKind::Configuration, configurationOf(targets, 2, gatewaysInDataCentre, true));
+        DocumentRequest request = behind.request(DocumentKind::Configuration);
+        double transfer = static_cast<double>(encodeFrame(request).size() + encodeFrame(ahead.reply(request)).size());
+        double size = static_cast<double>(targets);
+        figures.documentBytes.add(size, static_cast<double>(text.size()));
+        figures.readSeconds.add(size, read);
+        figures.heapBytes.add(size, heap);
+        figures.transferBytes.add(size, transfer);
+        figures.shareSeconds.add(size, share);
+        row({ std::to_string(targets), number(static_cast<double>(text.size()) / 1024), number(read * 1e3), number(heap / 1024), number(transfer / 1024), number(share * 1e3) });
+    }
+    row({ "residual", number(figures.documentBytes.residual() * 100, 0) + "%", number(figures.readSeconds.residual() * 100, 0) + "%", number(figures.heapBytes.residual() * 100, 0) + "%",
+        number(figures.transferBytes.residual() * 100, 0) + "%", number(figures.shareSeconds.residual() * 100, 0) + "%" });
+    std::cout << "\n";
+    return figures;
+}
+
+double measurePlatform()
+{
+    std::cout << "### Reads from the platform\n\n";
+    row({ "processes", "reads in the busiest second of a common start during an outage", "reads/s after it" });
+    row({ "---", "---", "---" });
+    double steady = 0;
+    for (std::size_t count : { 50U, 200U, 750U }) {
+        ManualClock clock;
+        std::vector<PlatformWatch> watches;
+        for (std::size_t i = 0; i < count; ++i)
+            watches.emplace_back(PlatformTiming(), i, clock.now());
+        std::size_t most = 0;
+        std::size_t after = 0;
+        for (int second = 0; second < 180; ++second) {
+            std::size_t reads = 0;
+            for (int part = 0; part < 10; ++part) {
+                clock.advance(100ms);
+                for (std::size_t i = 0; i < count; ++i) {
+                    bool watcher = i < 2 * static_cast<std::size_t>(dataCentres);
+                    for (const PlatformRead& read : watches[i].begin(clock.now(), watcher)) {
+                        ++reads;
+                        watches[i].finish(read.kind, second < 60 ? PlatformWatch::Result::Failed : PlatformWatch::Result::Unchanged, clock.now() + read.wait, watcher);
+                    }
+                }
+            }
+            most = std::max(most, reads);
+            after += second >= 120 ? reads : 0;
+        }
+        steady = static_cast<double>(after) / 60;
+        row({ std::to_string(count), std::to_string(most), number(steady) });
+    }
+    std::cout << "\n";
+    return steady;
+}
+
+} // namespace pimentopoint::bench
--- /dev/null
+++ b/bench/capacity/DataSlopes.cpp
@@ -0,0 +1,275 @@
+#include "DataSlopes.h"
+
+#include "../../standins/StandinTarget.h"
+#include "Size.h"
+
+#include <Pimentopoint/Caller>
+#include <Pimentopoint/Operator>
+#include <Pimentopoint/Peer>
+#include <Pimentopoint/Target>
+#include <condition_variable>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace pimentopoint::bench {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    SearchBatch batchOf(std::size_t size)
+    {
+        SearchBatch batch;
+        batch.versions = { ConfigurationVersion(440), Digest(0x1234567812345678), HostListVersion(900), Digest(0x1234567812345678) };
+        batch.sender = Incarnation(1796362954884909);
+        batch.remaining = 55000;
+        batch.snapshot = SnapshotVersion(12);
+        batch.text = "copper pan 12, tinned, 28 cm";
+        for (std::size_t i = 0; i < size; ++i)
+            batch.parts.push_back({ 123456789012ULL + i, TargetId(0x9234567812345678ULL + i), KeyRange(i * 17179869, (i + 1) * 17179869), {} });
+        return batch;
+    }
+
+    ReplyBatch repliesTo(const SearchBatch& batch)
+    {
+        ReplyBatch replies { batch.versions, batch.sender, {} };
+        for (const SubQuery& sub : batch.parts) {
+            SubReply reply;
+            reply.attempt = sub.attempt;
+            reply.outcome = Outcome::Answered;
+            reply.reachedTarget = true;
+            reply.snapshot = batch.snapshot;
+            reply.covered = { sub.range };
+            reply.hits = R"([{"key":12345,"score":0.5,"pan":"copper 28"}])";
+            reply.warmth = { Incarnation(1796362954884000), 4800 };
+            replies.replies.push_back(std::move(reply));
+        }
+        return replies;
+    }
+
+} // namespace
+
+void measureWire(SubQueryFigures& figures)
+{
+    std::cout << "### Frames between front and gateway\n\nOne hit of 46 bytes a sub-query.\n\n";
+    row({ "sub-queries in the batch", "batch bytes", "reply bytes", "bytes per sub-query, both ways" });
+    row({ "---", "---", "---", "---" });
+    for (std::size_t size : { 1U, 4U, 16U, 64U }) {
+        SearchBatch batch = batchOf(size);
+        double sent = static_cast<double>(encodeFrame(batch).size());
+        double received = static_cast<double>(encodeFrame(repliesTo(batch)).size());
+        figures.batchBytes.add(static_cast<double>(size), sent);
+        figures.replyBytes.add(static_cast<double>(size), received);
+        row({ std::to_string(size), number(sent, 0), number(received, 0), number((sent + received) / static_cast<double>(size)) });
+    }
+    row({ "residual", number(figures.batchBytes.residual() * 100, 1) + "%", number(figures.replyBytes.residual() * 100, 1) + "%", "" });
+    std::cout << "\n";
+}
+
+void measureFront(SubQueryFigures& figures)
+{
+    ConfigurationPointer configuration = readConfiguration(configurationOf(3100, 1, gatewaysInDataCentre));
+    std::vector<MemberRecord> gateways;
+    for (const DataCentre& dataCentre : configuration->dataCentres()) {
+        for (const MemberName& name : dataCentre.gateways()) {
+            MemberRecord record(name, MemberRole::Gateway, dataCentre.name(), Incarnation(1));
+            std::uint16_t port = static_cast<std::uint16_t>(1000 + gateways.size());
+            gateways.push_back(record.setEndpoints({ "10.0.0.1", port }, { "10.0.0.1", port }, { "10.0.0.1", port }));
+        }
+    }
+    std::cout << "### Front, processor time of the decisions with the coding of frames\n\nQueries of 250 shards over 3,100 targets and 749 gateways, every reply in time.\n\n";
+    row({ "sub-queries answered", "core s", "us per sub-query", "allocations per sub-query" });
+    row({ "---", "---", "---", "---" });
+    ManualClock clock;
+    HeapUse boardBefore = heapUse();
+    TargetBoard board(DataCentreName("dc0"), clock, 1);
+    board.setMembers(gateways);
+    ExtraSendBudget budget;
+    LatencyWindow latencies(0.95);
+    PinnedDocuments documents { configuration, nullptr };
+    std::uint64_t query = 0;
+    for (std::size_t queries : { 100U, 200U, 400U }) {
+        HeapUse heapBefore = heapUse();
+        double cpu = threadSeconds();
+        for (std::size_t i = 0; i < queries; ++i) {
+            QueryRun run(QueryEnvironment { board, budget, latencies, [&] { return documents; } }, documents, SearchFrontName("index-0-front"), ++query << 16, clock.now(), clock.now() + 59ms);
+            RunActions actions = run.begin(clock.now());
+            std::map<Endpoint, SearchBatch> batches;
+            for (const RunActions::Send& send : actions.sends)
+                batches[send.route.endpoint].parts.push_back(send.sub);
+            clock.advance(5ms);
+            for (auto& [endpoint, batch] : batches) {
+                std::string frame = encodeFrame(batch);
+                ReplyBatch replies = repliesTo(batch);
+                for (SubReply& reply : replies.replies)
+                    reply.snapshot = run.snapshot();
+                std::string coded = encodeFrame(replies);
+                for (const SubReply& reply : Frame::parse(coded.substr(frameLengthBytes)).decode<ReplyBatch>().replies)
+                    run.replied(reply, clock.now());
+            }
+            if (run.answer().outcome != Outcome::Answered)
+                std::cerr << "a query was not answered whole\n";
+        }
+        double seconds = threadSeconds() - cpu;
+        double answered = static_cast<double>(queries) * shardsPerQuery;
+        figures.frontSeconds.add(answered, seconds);
+        figures.frontAllocations = static_cast<double>(heapUse().allocations - heapBefore.allocations) / answered;
+        row({ number(answered, 0), number(seconds, 3), number(seconds / answered * 1e6, 2), number(figures.frontAllocations) });
+    }
+    row({ "residual", number(figures.frontSeconds.residual() * 100, 0) + "%", "", "" });
+    figures.boardBytes = static_cast<double>(heapUse().bytes - boardBefore.bytes);
+    std::cout << "\n";
+}
+
+void measureGateway(SubQueryFigures& figures)
+{
+    constexpr std::size_t targets = 60;
+    ConfigurationPointer configuration = readConfiguration(configurationOf(targets * 7, 1, 1));
+    ManualClock clock;
+    std::vector<Dispatch> dispatched;
+    std::uint64_t answered = 0;
+    GatewayEngine::Hooks hooks;
+    hooks.dispatch = [&](const Dispatch& dispatch) { dispatched.push_back(dispatch); };
+    hooks.cancel = [](TargetId, const AttemptId&) {};
+    hooks.reply = [&](const AttemptId&, const SubReply& reply) { answered += reply.outcome == Outcome::Answered; };
+    hooks.paused = [] {};
+    HeapUse before = heapUse();
+    GatewayEngine engine(MemberName("gateway-0-0"), DataCentreName("dc0"), hooks, clock.now());
+    engine.setDocuments({ configuration, nullptr, {} }, clock.now());
+    engine.setServing(true, NotRunReason::None, clock.now());
+    figures.laneBytes = static_cast<double>(heapUse().bytes - before.bytes) / targets;
+    std::vector<const Target*> own;
+    for (const Target& target : configuration->targets()) {
+        if (target.dataCentre() == DataCentreName("dc0"))
+            own.push_back(&target);
+    }
+    for (int i = 0; i < 20; ++i) {
+        clock.advance(100ms);
+        engine.tick(clock.now());
+    }
+    std::cout << "### Gateway, processor time of the decisions with the coding of frames and of the bodies for targets\n\n";
+    row({ "sub-queries answered", "core s", "us per sub-query" });
+    row({ "---", "---", "---" });
+    std::uint64_t number64 = 0;
+    for (std::size_t rounds : { 300U, 600U, 1200U }) {
+        std::uint64_t answeredBefore = answered;
+        double cpu = threadSeconds();
+        for (std::size_t i = 0; i < rounds; ++i) {
+            SearchBatch batch = batchOf(0);
+            batch.snapshot = SnapshotVersion(1);
+            for (const Target* target : own)
+                batch.parts.push_back({ ++number64, target->id(), KeyRange(0, 17179869), {} });
+            engine.submit(Frame::parse(encodeFrame(batch).substr(frameLengthBytes)).decode<SearchBatch>(), clock.now());
+            clock.advance(5ms);
+            std::vector<Dispatch> sent;
+            sent.swap(dispatched);
+            for (const Dispatch& dispatch : sent) {
+                std::string request = searchBody(dispatch);
+                std::string body = "{\"attempt\":\"" + dispatch.attempt.text()
+                    + R"(","incarnation":7,"snapshot":1,"covered":[[0,17179869]],"hits":[{"key":12345,"score":0.5,"pan":"copper 28"}]})";
+                ExchangeResult result;
+                result.attempt = dispatch.attempt;
+                result.target = dispatch.target;
+                result.end = readTargetReply(dispatch, 200, body, result.reply);
+                engine.complete(result, clock.now());
+            }
+        }
+        double seconds = threadSeconds() - cpu;
+        double count = static_cast<double>(answered - answeredBefore);
+        figures.gatewaySeconds.add(count, seconds);
+        row({ number(count, 0), number(seconds, 3), number(seconds / count * 1e6, 2) });
+    }
+    row({ "residual", number(figures.gatewaySeconds.residual() * 100, 0) + "%", "" });
+    std::cout << "\n";
+}
+
+namespace {
+
+    /// Exchanges over several clients' threads at once.
+    double exchangesPerSecond(unsigned clients, double& coreSecondsEach)
+    {
+        constexpr std::size_t targetCount = 8;
+        constexpr std::size_t window = 8;
+        constexpr std::size_t warmUp = 4000;
+        constexpr std::size_t count = 60000;
+        constexpr std::uint16_t firstPort = 26900;
+        standins::TargetBehaviour behaviour;
+        behaviour.slots = 64;
+        behaviour.shedAt = 256;
+        behaviour.service = Duration(200);
+        std::vector<std::unique_ptr<standins::StandinTarget>> targets;
+        for (std::size_t i = 0; i < targetCount; ++i)
+            targets.push_back(std::make_unique<standins::StandinTarget>(Endpoint("127.0.0.1", static_cast<std::uint16_t>(firstPort + i)), behaviour, 16));
+        std::mutex mutex;
+        std::condition_variable changed;
+        std::size_t done = 0;
+        std::map<std::thread::id, std::pair<double, double>> core; // First and last reading of each client's thread.
+        std::chrono::steady_clock::time_point begin;
+        std::chrono::steady_clock::time_point end;
+        std::unique_ptr<TargetClients> pool;
+        auto send = [&](std::uint64_t attempt) {
+            std::size_t index = attempt % targetCount;
+            pool->dispatch({ AttemptId(Incarnation(1), attempt), TargetId(index), Endpoint("127.0.0.1", static_cast<std::uint16_t>(firstPort + index)), KeyRange(0, 10), SnapshotVersion(1), 5s, 5s, "copper pan" });
+        };
+        pool = std::make_unique<TargetClients>(clients, [&](const ExchangeResult& result) {
+            std::lock_guard lock(mutex);
+            ++done;
+            if (done == warmUp)
+                begin = std::chrono::steady_clock::now();
+            if (done >= warmUp && done <= warmUp + count) {
+                double now = threadSeconds();
+                core.try_emplace(std::this_thread::get_id(), now, now).first->second.second = now;
+            }
+            if (done == warmUp + count) {
+                end = std::chrono::steady_clock::now();
+                changed.notify_all();
+            }
+            if (done < warmUp + count)
+                send(result.attempt.number() + targetCount * window);
+        });
+        for (std::uint64_t i = 0; i < targetCount * window; ++i)
+            send(i);
+        std::unique_lock lock(mutex);
+        changed.wait_for(lock, 60s, [&] { return done >= warmUp + count; });
+        lock.unlock();
+        pool->stop();
+        double spent = 0;
+        for (const auto& [thread, readings] : core)
+            spent += readings.second - readings.first;
+        coreSecondsEach = spent / count;
+        return count / std::chrono::duration<double>(end - begin).count();
+    }
+
+} // namespace
+
+void measureExchange(SubQueryFigures& figures)
+{
+    std::cout << "### Exchange with a target\n\n60000 exchanges with 8 stand-ins over 64 connections; the stand-ins run on the same machine.\n\n";
+    row({ "client threads", "us of a core each", "thousand a second" });
+    row({ "---", "---", "---" });
+    for (unsigned clients : { 1U, 2U, 4U }) {
+        double core = 0;
+        double rate = exchangesPerSecond(clients, core);
+        if (clients == 1)
+            figures.exchangeSeconds = core;
+        figures.mostExchangesPerSecond = std::max(figures.mostExchangesPerSecond, rate);
+        row({ std::to_string(clients), number(core * 1e6), number(rate / 1000) });
+    }
+    std::cout << "\n";
+}
+
+void measureTickets(SubQueryFigures& figures)
+{
+    ManualClock clock;
+    TicketLedger ledger(1min, 100000);
+    HeapUse before = heapUse();
+    constexpr int count = 50000;
+    for (int i = 0; i < count; ++i)
+        ledger.claim(*ledger.issue(clock.now()), Digest(1), clock.now());
+    figures.ticketBytes = static_cast<double>(heapUse().bytes - before.bytes) / count;
+}
+
+} // namespace pimentopoint::bench
--- /dev/null
+++ b/bench/capacity/Members.h
@@ -0,0 +1,149 @@
+/// \file
+/// Many members over an in-memory wire.
+#pragma once
+
+#include "../Measure.h"
+#include "Size.h"
+
+#include <Pimentopoint/Core>
+#include <Pimentopoint/Peer>
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace pimentopoint::bench {
+
+using namespace std::chrono_literals;
+
+/// Members over an in-memory wire on a manual clock; every datagram arrives at once.
+class Members {
+public:
+    explicit Members(std::size_t count)
+    {
+        std::vector<MemberRecord> records;
+        for (std::size_t i = 0; i < count; ++i)
+            records.push_back(record(i, 1));
+        HeapUse before = heapUse();
+        for (std::size_t i = 0; i < count; ++i) {
+            m_members.push_back(std::make_unique<Membership>(records[i], std::vector<Endpoint> { endpointOf(0), endpointOf(1) }, MembershipTiming(), i + 1));
+            m_members.back()->merge(records, m_clock.now());
+        }
+        bytesPerMember = static_cast<double>(heapUse().bytes - before.bytes) / static_cast<double>(count);
+        adopted.resize(count);
+        m_down.resize(count);
+        settle(10s);
+    }
+    static Endpoint endpointOf(std::size_t index) { return { "10.0." + std::to_string(index / 200) + "." + std::to_string(index % 200), 7000 }; }
+    static MemberRecord record(std::size_t index, std::uint64_t incarnation)
+    {
+        MemberRecord member(MemberName("member-" + std::to_string(index)), index % 2 ? MemberRole::Front : MemberRole::Gateway, DataCentreName(dataCentreName(index)),
+            Incarnation(1796362954884909 + incarnation));
+        Endpoint endpoint = endpointOf(index);
+        return member.setEndpoints(endpoint, { endpoint.address(), 7001 }, { endpoint.address(), 7002 });
+    }
+    void step(Duration duration)
+    {
+        constexpr Duration tick = 50ms;
+        for (Duration passed(0); passed < duration; passed += tick) {
+            m_clock.advance(tick);
+            for (std::size_t i = 0; i < m_members.size(); ++i) {
+                if (!m_down[i])
+                    carry(i, m_members[i]->tick(m_clock.now()));
+            }
+            adoptDue();
+        }
+    }
+    /// Ends members \a begin to \a end without a word.
+    void end(std::size_t begin, std::size_t end)
+    {
+        for (std::size_t i = begin; i < end; ++i)
+            m_down[i] = true;
+    }
+    /// Cuts the members of region 0 from the others, or heals the cut.
+    void setCut(bool cut) { m_cut = cut; }
+    static bool inCutRegion(std::size_t index) { return index % static_cast<std::size_t>(dataCentres) % 3 == 0; }
+    /// \returns whether every live member has \a wanted of every member that \a subject selects for it
+    bool all(const std::function<bool(std::size_t viewer, std::size_t subject)>& selected, MemberState wanted) const
+    {
+        std::vector<MemberName> names;
+        for (std::size_t i = 0; i < m_members.size(); ++i)
+            names.push_back(record(i, 1).name());
+        for (std::size_t viewer = 0; viewer < m_members.size(); ++viewer) {
+            for (std::size_t subject = 0; !m_down[viewer] && subject < m_members.size(); ++subject) {
+                if (viewer == subject || !selected(viewer, subject))
+                    continue;
+                const MemberRecord* known = m_members[viewer]->member(names[subject]);
+                if (!known || known->state() != wanted)
+                    return false;
+            }
+        }
+        return true;
+    }
+    void restart(std::size_t index)
+    {
+        m_members[index] = std::make_unique<Membership>(record(index, ++m_incarnation), std::vector<Endpoint> { endpointOf(0), endpointOf(1) }, MembershipTiming(), index);
+        m_members[index]->merge(m_members[0]->members(), m_clock.now());
+    }
+    void setVersion(std::size_t index, std::uint64_t version)
+    {
+        adopted[index] = m_clock.now();
+        carry(index, m_members[index]->setVersions({ ConfigurationVersion(version), Digest(version), HostListVersion(1), Digest(1) }, m_clock.now()));
+    }
+    Instant now() const { return m_clock.now(); }
+    double live() const { return static_cast<double>(std::count(m_down.begin(), m_down.end(), false)); }
+
+    double bytesPerMember = 0;
+    std::uint64_t bytes = 0;
+    std::uint64_t datagrams = 0;
+    std::vector<Instant> adopted;
+
+private:
+    void settle(Duration duration)
+    {
+        step(duration);
+        bytes = 0;
+        datagrams = 0;
+    }
+    void carry(std::size_t from, const MembershipActions& actions)
+    {
+        if (actions.newerDocumentsAt) {
+            std::size_t at = indexOf(actions.newerDocumentsAt->udp());
+            std::uint64_t version = m_members[at]->versions().configuration().value();
+            m_due.emplace(m_clock.now() + fetchTime, std::pair(from, version));
+        }
+        for (const MembershipActions::Datagram& datagram : actions.datagrams) {
+            bytes += datagram.bytes.size() + udpOverheadBytes;
+            ++datagrams;
+            std::size_t to = indexOf(datagram.destination);
+            bool crossesCut = m_cut && to < m_members.size() && inCutRegion(from) != inCutRegion(to);
+            if (to < m_members.size() && !m_down[to] && !crossesCut)
+                carry(to, m_members[to]->receive(datagram.bytes, endpointOf(from), m_clock.now()));
+        }
+    }
+    static std::size_t indexOf(const Endpoint& endpoint)
+    {
+        std::size_t third = endpoint.address().find('.', 5);
+        return std::stoul(endpoint.address().substr(5, third - 5)) * 200 + std::stoul(endpoint.address().substr(third + 1));
+    }
+    void adoptDue()
+    {
+        while (!m_due.empty() && m_due.begin()->first <= m_clock.now()) {
+            auto [index, version] = m_due.begin()->second;
+            m_due.erase(m_due.begin());
+            if (m_members[index]->versions().configuration().value() < version)
+                setVersion(index, version);
+        }
+    }
+
+    static constexpr Duration fetchTime = 150ms; // A request, the reply and the reading of a document.
+    static constexpr std::uint64_t udpOverheadBytes = 28;
+    ManualClock m_clock;
+    std::vector<std::unique_ptr<Membership>> m_members;
+    std::vector<bool> m_down;
+    bool m_cut = false;
+    std::multimap<Instant, std::pair<std::size_t, std::uint64_t>> m_due;
+    std::uint64_t m_incarnation = 1;
+};
+
+} // namespace pimentopoint::bench
--- a/test/World.h
+++ b/test/World.h
@@ -37,6 +37,8 @@
 /// \brief Fronts, gateways and targets; judges only from what the fake targets and callers recorded.
 class World {
 public:
+    static constexpr unsigned shardCount = 4;
+
     World(std::uint64_t seed, WorldFaults faults);
 
     /// Runs the whole schedule; \returns violations, each with the time it was found
