Hedge a second time when the hedge is late too

Cause: with one request in fifty slow, 1 in 2,500 sub-queries meets two slow ones in a row and waited for the gateway's bound on silence; of queries of 10 shards that is 0.4 %, of 250 shards 10 %. Ruled out: shorter silence at the gateway (it takes the connection and a quarantined slot with it). Change: up to two hedges a send, each after the learned delay, within the same credit of 5 %; a try without route or credit doubles the wait for the next.

--- a/Pimentopoint/src/Caller/QueryRun.cpp
+++ b/Pimentopoint/src/Caller/QueryRun.cpp
@@ -14,6 +14,9 @@
     constexpr int answerMarginPart = 10;
     /// Shortest wait before a hedge.
     constexpr Duration shortestHedgeDelay = std::chrono::milliseconds(1);
+    /// Most hedges of one send: of many shards, one may be late twice.
+    constexpr unsigned maxHedges = 2;
+    constexpr unsigned maxHedgeDoublings = 16;
     /// Time left below which nothing new is sent.
     constexpr Duration leastUsefulTime = std::chrono::milliseconds(1);
     /// Wait before a coverage-first query tries refused shards anew.
@@ -87,6 +90,8 @@
     std::uint64_t number = m_nextAttempt++;
     m_attempts.emplace(number, Attempt { index, *route, now });
     ++run.outstanding;
+    run.hedges = kind == SendKind::Hedge ? run.hedges + 1 : 0;
+    run.hedgeTries = 0;
     run.sentAt = now;
     run.retryAt.reset();
     m_environment.router.sent(*route);
@@ -279,23 +284,25 @@
     m_shards[shard].outstanding = 0;
 }
 
+bool QueryRun::mayHedge(const ShardRun& run) const
+{
+    return m_front->repeatable() && !run.done && run.outstanding && run.hedges < maxHedges;
+}
+
 void QueryRun::hedgeDue(Instant now, RunActions& actions)
 {
-    if (!m_front->repeatable())
-        return;
     for (std::size_t i = 0; i < m_shards.size(); ++i) {
         ShardRun& run = m_shards[i];
-        bool due = !run.done && run.outstanding == 1 && !run.hedged && now >= hedgeAt(run);
-        if (!due)
+        if (!mayHedge(run) || now < hedgeAt(run))
             continue;
-        ++run.hedgeTries;
+        // Each try without a route or credit doubles the wait for the next.
+        run.hedgeTries = std::min(run.hedgeTries + 1, maxHedgeDoublings);
         RouteExclusions before = run.exclusions;
         for (const auto& [number, attempt] : m_attempts) {
             if (attempt.shard == i)
                 run.exclusions.targets.push_back(attempt.route.target);
         }
-        run.hedged = send(i, SendKind::Hedge, now, actions);
-        if (!run.hedged)
+        if (!send(i, SendKind::Hedge, now, actions))
             run.exclusions = before;
     }
 }
@@ -339,7 +346,7 @@
             continue;
         if (run.retryAt)
             wake = std::min(wake, *run.retryAt);
-        if (run.outstanding == 1 && !run.hedged && m_front->repeatable())
+        if (mayHedge(run))
             wake = std::min(wake, hedgeAt(run));
     }
     return coveredSoFar() >= m_front->enoughCoverage() ? std::min(wake, patience) : wake;
--- a/Pimentopoint/src/Caller/QueryRun.h
+++ b/Pimentopoint/src/Caller/QueryRun.h
@@ -79,8 +79,8 @@
         unsigned outstanding = 0;
         unsigned rounds = 0;
         bool done = false;
-        bool hedged = false;
-        unsigned hedgeTries = 0;
+        unsigned hedges = 0; ///< Sent since the latest other send.
+        unsigned hedgeTries = 0; ///< Since the latest send of any kind.
         bool failed = false; ///< No way is left to try.
         std::optional<Instant> retryAt;
         Instant sentAt {};
@@ -112,7 +112,8 @@
     void retryLater(ShardRun& run, Instant now);
     bool replan(Instant now, RunActions& actions);
     void cancelOthers(std::size_t shard, RunActions& actions);
-    Instant hedgeAt(const ShardRun& run) const { return run.sentAt + m_hedgeDelay * (1 + run.hedgeTries); }
+    bool mayHedge(const ShardRun& run) const;
+    Instant hedgeAt(const ShardRun& run) const { return run.sentAt + m_hedgeDelay * (1U << run.hedgeTries); }
     void hedgeDue(Instant now, RunActions& actions);
     void retryDue(Instant now, RunActions& actions);
     void settle(Instant now, RunActions& actions);
--- a/test/Query.cpp
+++ b/test/Query.cpp
@@ -35,8 +35,8 @@
 
 class QueryBench {
 public:
-    explicit QueryBench(const std::function<void(SearchFront&)>& policy = {}, std::uint64_t version = 1)
-        : m_documents { configuration(policy, version), nullptr }
+    explicit QueryBench(const std::function<void(SearchFront&)>& policy = {}, std::uint64_t version = 1, bool thirdReplica = false)
+        : m_documents { configuration(policy, version, thirdReplica), nullptr }
         , newest(m_documents)
     {
         budget.earn(100, Fraction(0.05));
@@ -44,14 +44,17 @@
             0, clock.now(), clock.now() + 200ms);
         take(run->begin(clock.now()));
     }
-    static ConfigurationPointer configuration(const std::function<void(SearchFront&)>& policy, std::uint64_t version)
+    static ConfigurationPointer configuration(const std::function<void(SearchFront&)>& policy, std::uint64_t version, bool thirdReplica = false)
     {
         ConfigurationBuilder builder { ConfigurationVersion(version) };
         builder.addDataCentre(DataCentre(DataCentreName("a"), "r").addGateway(MemberName("g1")));
         builder.addTargetSet(TargetSet("s").setSlots(2).setConnections(4));
-        for (std::uint16_t i = 0; i < 4; ++i)
+        for (std::uint16_t i = 0; i < 5; ++i)
             builder.addTarget("t" + std::to_string(i), Endpoint("127.0.0.1", static_cast<std::uint16_t>(10 + i)), "a");
-        builder.addShardGroup("g", SnapshotVersion(version), { { "t0", "t1" }, { "t2", "t3" } });
+        std::vector<std::string> first { "t0", "t1" };
+        if (thirdReplica)
+            first.emplace_back("t4");
+        builder.addShardGroup("g", SnapshotVersion(version), { first, { "t2", "t3" } });
         builder.addSearchFront("f", "g", [&](SearchFront& front) {
             front.setDeadline(200ms);
             if (policy)
@@ -243,6 +246,26 @@
     CHECK(bench.router.ends == 2);
 }
 
+TEST_CASE("a shard whose hedge is late too is hedged a second time, and no more")
+{
+    QueryBench bench({}, 1, true);
+    bench.reply(bench.whole(1));
+    bench.passTo(60ms);
+    REQUIRE(bench.sends.size() == 3);
+    bench.passTo(89ms);
+    CHECK(bench.sends.size() == 3);
+    bench.passTo(90ms);
+    REQUIRE(bench.sends.size() == 4);
+    CHECK(bench.sends[3].target != bench.sends[0].target);
+    CHECK(bench.sends[3].target != bench.sends[2].target);
+    bench.passTo(180ms);
+    CHECK(bench.sends.size() == 4);
+    bench.reply(bench.whole(3));
+    CHECK(bench.run->answer().outcome == Outcome::Answered);
+    CHECK(bench.cancels == 2);
+    CHECK(bench.router.outstanding == 0);
+}
+
 TEST_CASE("without budget nothing extra is sent and the answer is partial, in time")
 {
     QueryBench bench;
