Count load per route: a target's two gateways have queues of their own

Cause: a target's slots are divided between two gateways with a queue each, but the front kept one figure a target: it saw equal loads on both routes, chose at random between them, and took one gateway's queue for the other's. At 0.9 of capacity half of the lanes queued while the others were idle. Ruled out: hedges (the credit bounds them to 5 %, 2.2 % were sent); the time between two exchanges at a gateway (about 1 ms of 40); the load generator (400 callers give the same: p50 358 ms). Change: TargetBoard keeps what is outstanding and queued per target and gateway, over that gateway's slots.

--- a/Pimentopoint/src/Caller/TargetBoard.cpp
+++ b/Pimentopoint/src/Caller/TargetBoard.cpp
@@ -50,14 +50,15 @@
     return m_random.below(bound);
 }
 
-std::uint64_t TargetBoard::loadOf(const Configuration& configuration, const Target& target, Route& route)
+std::uint64_t TargetBoard::loadOf(const Target& target, const Share& share, Route& route)
 {
     Instant now = m_clock.now();
     Part& shard = part(target.id());
     std::lock_guard lock(shard.mutex);
-    const Memo& memo = shard.memos[target.id()];
+    Memo& memo = shard.memos[target.id()];
     route.hint = memo.warmth;
-    std::uint64_t load = (memo.outstanding + memo.queued) * loadScale / configuration.limits(target).slots();
+    const RouteMemo& onRoute = memo.routes[route.gateway];
+    std::uint64_t load = (onRoute.outstanding + onRoute.queued) * loadScale / std::max(share.slots(), 1U);
     load += target.dataCentre() == m_home ? 0 : crossingLoad;
     load += now < memo.avoidUntil ? avoidedLoad : 0;
     return load;
@@ -84,7 +85,7 @@
             if (gateway == gateways->end() || exclusions.excludes(id, owner.gateway))
                 continue;
             Candidate candidate { { id, owner.gateway, gateway->second.tcp(), {} }, 0 };
-            candidate.load = loadOf(configuration, target, candidate.route);
+            candidate.load = loadOf(target, owner.share, candidate.route);
             candidate.load += gateway->second.state() == MemberState::Suspect ? avoidedLoad : 0;
             found.push_back(std::move(candidate));
         }
@@ -107,14 +108,14 @@
 {
     Part& shard = part(route.target);
     std::lock_guard lock(shard.mutex);
-    ++shard.memos[route.target].outstanding;
+    ++shard.memos[route.target].routes[route.gateway].outstanding;
 }
 
 void TargetBoard::abandoned(const Route& route)
 {
     Part& shard = part(route.target);
     std::lock_guard lock(shard.mutex);
-    Memo& memo = shard.memos[route.target];
+    RouteMemo& memo = shard.memos[route.target].routes[route.gateway];
     if (memo.outstanding)
         --memo.outstanding;
 }
@@ -125,13 +126,14 @@
     Part& shard = part(route.target);
     std::lock_guard lock(shard.mutex);
     Memo& memo = shard.memos[route.target];
-    if (memo.outstanding)
-        --memo.outstanding;
+    RouteMemo& onRoute = memo.routes[route.gateway];
+    if (onRoute.outstanding)
+        --onRoute.outstanding;
     if (!reply || reply->outcome == Outcome::Unknown || reply->notRun == NotRunReason::Unreachable)
         memo.avoidUntil = now + avoidTime;
     if (!reply)
         return;
-    memo.queued = reply->queued;
+    onRoute.queued = reply->queued;
     if (reply->warmth.incarnation.value())
         memo.warmth = reply->warmth;
 }
--- a/Pimentopoint/src/Caller/TargetBoard.h
+++ b/Pimentopoint/src/Caller/TargetBoard.h
@@ -15,8 +15,8 @@
 /// \class TargetBoard
 /// \ingroup Caller
 /// \brief The front's view of targets and gateways; chooses the least loaded replica, at random among equals, home first.
-/// \details Load is what this front has outstanding plus what the gateway last reported to wait. A route whose
-/// sub-query was lost is avoided for a while. State is divided into parts, each under its own lock.
+/// \details Load counts per route, as each gateway has a queue and slots of its own: what this front has outstanding plus
+/// what the gateway last reported to wait, over the gateway's slots. A target whose sub-query was lost is avoided for a while. State is divided into parts, each under its own lock.
 class TargetBoard : public Router {
 public:
     TargetBoard(DataCentreName home, const Clock& clock, std::uint64_t seed);
@@ -30,9 +30,12 @@
     void ended(const Route& route, const SubReply* reply) override;
 
 private:
-    struct Memo {
+    struct RouteMemo {
         std::uint32_t outstanding = 0;
         std::uint32_t queued = 0;
+    };
+    struct Memo {
+        std::map<MemberName, RouteMemo> routes; ///< By gateway.
         WarmthHint warmth;
         Instant avoidUntil {};
     };
@@ -51,7 +54,7 @@
     Part& part(TargetId target) { return m_parts[target.value() % partCount]; }
     std::shared_ptr<const ShareTable> shares(const ConfigurationPointer& configuration);
     std::vector<Candidate> candidates(const PinnedDocuments& documents, const Shard& shard, const RouteExclusions& exclusions);
-    std::uint64_t loadOf(const Configuration& configuration, const Target& target, Route& route);
+    std::uint64_t loadOf(const Target& target, const Share& share, Route& route);
     std::uint64_t random(std::uint64_t bound);
 
     DataCentreName m_home;
