Spare cold targets while others serve

Cause: with one of thirty targets cold (five times the service time), 3.3 % of queries waited for it: the front chose it like any other, though the gateway says with each reply that it holds the target for cold. Ruled out: the cold limit (it was kept); the hedge, which came, but after the learned delay and into the same cold lane's remaining share. Change: TargetBoard counts a cold route as loaded, over its cold limit instead of its slots, but for one choice in sixteen, so that it is seen to become warm.

--- a/Pimentopoint/src/Caller/TargetBoard.cpp
+++ b/Pimentopoint/src/Caller/TargetBoard.cpp
@@ -10,6 +10,10 @@
     constexpr std::uint64_t crossingLoad = 300;
     /// Load that a target in doubt counts in addition (requests per slot, in hundredths).
     constexpr std::uint64_t avoidedLoad = 1000;
+    /// Load that a cold target counts in addition (requests per slot, in hundredths).
+    constexpr std::uint64_t coldLoad = 500;
+    /// One choice in so many takes a cold target for a warm one.
+    constexpr std::uint64_t coldTrickle = 16;
     constexpr std::uint64_t loadScale = 100;
     /// Time for which a target whose sub-query was lost is avoided.
     constexpr Duration avoidTime = std::chrono::milliseconds(250);
@@ -50,7 +54,7 @@
     return m_random.below(bound);
 }
 
-std::uint64_t TargetBoard::loadOf(const Target& target, const Share& share, Route& route)
+std::uint64_t TargetBoard::loadOf(const Target& target, const Share& share, bool trickle, Route& route)
 {
     Instant now = m_clock.now();
     Part& shard = part(target.id());
@@ -58,8 +62,10 @@
     Memo& memo = shard.memos[target.id()];
     route.hint = memo.warmth;
     const RouteMemo& onRoute = memo.routes[route.gateway];
-    std::uint64_t load = (onRoute.outstanding + onRoute.queued) * loadScale / std::max(share.slots(), 1U);
+    std::uint32_t usable = onRoute.cold ? share.coldLimit() : share.slots();
+    std::uint64_t load = (onRoute.outstanding + onRoute.queued) * loadScale / std::max(usable, 1U);
     load += target.dataCentre() == m_home ? 0 : crossingLoad;
+    load += onRoute.cold && !trickle ? coldLoad : 0;
     load += now < memo.avoidUntil ? avoidedLoad : 0;
     return load;
 }
@@ -74,6 +80,7 @@
         std::lock_guard lock(m_mutex);
         gateways = m_gateways;
     }
+    bool trickle = random(coldTrickle) == 0;
     std::vector<Candidate> found;
     for (TargetId id : shard.replicas()) {
         const Target& target = *configuration.target(id);
@@ -85,7 +92,7 @@
             if (gateway == gateways->end() || exclusions.excludes(id, owner.gateway))
                 continue;
             Candidate candidate { { id, owner.gateway, gateway->second.tcp(), {} }, 0 };
-            candidate.load = loadOf(target, owner.share, candidate.route);
+            candidate.load = loadOf(target, owner.share, trickle, candidate.route);
             candidate.load += gateway->second.state() == MemberState::Suspect ? avoidedLoad : 0;
             found.push_back(std::move(candidate));
         }
@@ -134,6 +141,7 @@
     if (!reply)
         return;
     onRoute.queued = reply->queued;
+    onRoute.cold = reply->cold;
     if (reply->warmth.incarnation.value())
         memo.warmth = reply->warmth;
 }
--- a/Pimentopoint/src/Caller/TargetBoard.h
+++ b/Pimentopoint/src/Caller/TargetBoard.h
@@ -16,7 +16,8 @@
 /// \ingroup Caller
 /// \brief The front's view of targets and gateways; chooses the least loaded replica, at random among equals, home first.
 /// \details Load counts per route, as each gateway has a queue and slots of its own: what this front has outstanding plus
-/// what the gateway last reported to wait, over the gateway's slots. A target whose sub-query was lost is avoided for a while. State is divided into parts, each under its own lock.
+/// what the gateway last reported to wait, over the gateway's slots. A target whose sub-query was lost is avoided for a while.
+/// A route whose target is cold gets few sub-queries while another serves: enough to see it warm. State is divided into parts, each under its own lock.
 class TargetBoard : public Router {
 public:
     TargetBoard(DataCentreName home, const Clock& clock, std::uint64_t seed);
@@ -33,6 +34,7 @@
     struct RouteMemo {
         std::uint32_t outstanding = 0;
         std::uint32_t queued = 0;
+        bool cold = false; ///< Whether the gateway holds the target for cold.
     };
     struct Memo {
         std::map<MemberName, RouteMemo> routes; ///< By gateway.
@@ -54,7 +56,7 @@
     Part& part(TargetId target) { return m_parts[target.value() % partCount]; }
     std::shared_ptr<const ShareTable> shares(const ConfigurationPointer& configuration);
     std::vector<Candidate> candidates(const PinnedDocuments& documents, const Shard& shard, const RouteExclusions& exclusions);
-    std::uint64_t loadOf(const Target& target, const Share& share, Route& route);
+    std::uint64_t loadOf(const Target& target, const Share& share, bool trickle, Route& route);
     std::uint64_t random(std::uint64_t bound);
 
     DataCentreName m_home;
--- a/test/Board.cpp
+++ b/test/Board.cpp
@@ -77,3 +77,24 @@
     bench.board.abandoned(second);
     CHECK(bench.choose().gateway == second.gateway);
 }
+
+TEST_CASE("a cold target gets few sub-queries while another serves, but some, and all again once it is warm")
+{
+    BoardBench bench;
+    RouteExclusions none;
+    for (int i = 0; i < 2; ++i) {
+        Route route = bench.choose(none);
+        bench.reply(route, 0, true);
+        none.routes.emplace_back(route.target, route.gateway);
+    }
+    constexpr int choices = 400;
+    int cold = 0;
+    for (int i = 0; i < choices; ++i)
+        cold += bench.choose().target == targetIdOf(TargetName("near"));
+    CHECK(cold > 0);
+    CHECK(cold < choices / 8);
+    for (const auto& [target, gateway] : none.routes)
+        bench.reply({ target, gateway, Endpoint("127.0.0.1", 21), {} }, 0, false);
+    for (int i = 0; i < choices; ++i)
+        CHECK(bench.choose().target == targetIdOf(TargetName("near")));
+}
