Let only so many queries begin as targets can end, and leave urgent work a slot

Cause: at 1.3 of capacity lanes refused 23 % of sub-queries, each for itself; of queries of ten shards few were whole (0.38 of capacity), though targets were busy. Urgent queries waited for a running ordinary one at each lane. Change: AdmissionControl in the front, fed by QueryRun::congestion(); a lane keeps one slot free of ordinary work while urgent work uses half a slot or more.

--- a/Pimentopoint/src/Caller/FrontEngine.cpp
+++ b/Pimentopoint/src/Caller/FrontEngine.cpp
@@ -57,7 +57,7 @@
     std::lock_guard lock(m_frontsMutex);
     auto& state = m_fronts[name];
     if (!state)
-        state = std::make_unique<FrontState>();
+        state = std::make_unique<FrontState>(m_incarnation.value());
     return *state;
 }
 
@@ -194,6 +194,8 @@
 {
     DocumentStore::InForce documents = m_documents();
     FrontState& state = frontState(request.searchFront);
+    if (!state.admission.admit(start))
+        return Answer::refused(NotRunReason::Shed, "there is more to do than can be done in time");
     auto pinned = [this] {
         DocumentStore::InForce current = m_documents();
         return PinnedDocuments { current.configuration, current.hosts };
@@ -215,6 +217,7 @@
     }
     perform(run, query, actions);
     Answer answer = waitFor(run, query);
+    state.admission.ended(run->query->congestion(), start, m_clock.now());
     Part& shard = part(query);
     std::lock_guard lock(shard.mutex);
     shard.runs.erase(query);
--- a/Pimentopoint/src/Caller/FrontEngine.h
+++ b/Pimentopoint/src/Caller/FrontEngine.h
@@ -4,6 +4,7 @@
 #include "../Core/PauseDetector.h"
 #include "../Peer/DocumentStore.h"
 #include "../Peer/PeerConnection.h"
+#include "AdmissionControl.h"
 #include "QueryRun.h"
 #include "RequestJournal.h"
 #include "SearchRequest.h"
@@ -73,6 +74,12 @@
         std::unordered_map<std::uint64_t, RunPointer> runs;
     };
     struct FrontState {
+        explicit FrontState(std::uint64_t seed)
+            : admission(seed)
+        {
+        }
+
+        AdmissionControl admission;
         ExtraSendBudget budget;
         LatencyWindow latencies { hedgeQuantile };
     };
--- a/Pimentopoint/src/Caller/QueryRun.cpp
+++ b/Pimentopoint/src/Caller/QueryRun.cpp
@@ -23,6 +23,8 @@
     constexpr Duration retryPause = std::chrono::milliseconds(15);
     /// Most rounds over the replicas of one shard.
     constexpr unsigned maxRounds = 4;
+    /// Shards that take more than this part of the time allowed, as one in so many, have waited long.
+    constexpr int congestionPart = 3;
     /// A replan needs this part of the whole time to be left, as one in so many.
     constexpr int replanPart = 3;
 
@@ -52,6 +54,8 @@
     m_front = m_documents.configuration->searchFront(m_frontName);
     m_group = &m_documents.configuration->shardGroups()[m_front->shardGroup()];
     m_coveredKeys = 0;
+    m_doneShards = 0;
+    m_halfDoneAt.reset();
     m_shards.clear();
     m_shards.resize(m_group->shards().size());
     for (std::size_t i = 0; i < m_shards.size(); ++i)
@@ -110,7 +114,7 @@
     }
 }
 
-void QueryRun::accept(ShardRun& run, const SubReply& reply)
+void QueryRun::accept(ShardRun& run, const SubReply& reply, Instant now)
 {
     Coverage inShard;
     for (const KeyRange& range : reply.covered) {
@@ -129,6 +133,9 @@
     run.covered = reply.covered;
     run.hits = reply.hits;
     run.done = after == run.shard->range().size();
+    m_doneShards += run.done;
+    if (!m_halfDoneAt && 2 * m_doneShards >= m_shards.size())
+        m_halfDoneAt = now;
 }
 
 RunActions QueryRun::replied(const SubReply& reply, Instant now)
@@ -144,7 +151,7 @@
     m_environment.router.ended(attempt.route, &reply);
     bool usable = reply.outcome == Outcome::Answered && reply.snapshot == m_group->snapshot();
     if (usable && !run.done)
-        accept(run, reply);
+        accept(run, reply, now);
     if (usable)
         m_environment.latencies.add(now - attempt.sentAt);
     if (run.done)
@@ -374,6 +381,17 @@
         finish(actions);
 }
 
+Congestion QueryRun::congestion() const
+{
+    auto refused = [](const ShardRun& run) { return !run.done && (run.refusal == NotRunReason::Shed || run.refusal == NotRunReason::Deadline); };
+    auto count = static_cast<std::size_t>(std::count_if(m_shards.begin(), m_shards.end(), refused));
+    bool halfRefused = 2 * count >= m_shards.size();
+    bool halfLate = m_halfDoneAt && *m_halfDoneAt - m_start > (m_replyDeadline - m_start) / congestionPart;
+    if (!halfRefused && !halfLate)
+        return Congestion::None;
+    return m_doneShards < m_shards.size() ? Congestion::Refused : Congestion::Waited;
+}
+
 void QueryRun::finish(RunActions& actions)
 {
     m_finished = true;
--- a/Pimentopoint/src/Caller/QueryRun.h
+++ b/Pimentopoint/src/Caller/QueryRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AdmissionControl.h"
 #include "Answer.h"
 #include "Coverage.h"
 #include "ExtraSendBudget.h"
@@ -69,6 +70,8 @@
     const SearchFront& searchFront() const { return *m_front; }
     SnapshotVersion snapshot() const { return m_group->snapshot(); }
     const PinnedDocuments& documents() const { return m_documents; }
+    /// \returns how the shards met the queues of their targets; valid once finished
+    Congestion congestion() const;
     /// \returns the instant by which replies are due
     Instant replyDeadline() const { return m_replyDeadline; }
 
@@ -106,7 +109,7 @@
 
     void plan();
     bool send(std::size_t shard, SendKind kind, Instant now, RunActions& actions);
-    void accept(ShardRun& run, const SubReply& reply);
+    void accept(ShardRun& run, const SubReply& reply, Instant now);
     void handleFailure(std::size_t shard, const Attempt& attempt, const SubReply& reply, Instant now, RunActions& actions);
     void tryAgain(std::size_t shard, const SubReply& reply, Instant now, RunActions& actions);
     void retryLater(ShardRun& run, Instant now);
@@ -136,6 +139,8 @@
     std::vector<ShardRun> m_shards;
     std::unordered_map<std::uint64_t, Attempt> m_attempts;
     std::uint64_t m_coveredKeys = 0;
+    std::size_t m_doneShards = 0;
+    std::optional<Instant> m_halfDoneAt; ///< When half of the shards were done.
     bool m_replanned = false;
     bool m_mayHaveRun = false; ///< Attempts of an abandoned plan may have run.
     bool m_finished = false;
--- a/Pimentopoint/src/Target/AdmissionQueue.h
+++ b/Pimentopoint/src/Target/AdmissionQueue.h
@@ -46,6 +46,7 @@
     /// Removes \a attempt; \returns whether it was waiting
     bool remove(const AttemptId& attempt);
 
+    bool urgentWaits() const { return !line(Urgency::Urgent).empty(); }
     std::size_t size() const { return m_lines[0].size() + m_lines[1].size(); }
     /// \returns how many would be served before a new one of \a urgency
     std::size_t ahead(Urgency urgency) const;
--- a/Pimentopoint/src/Target/TargetLane.cpp
+++ b/Pimentopoint/src/Target/TargetLane.cpp
@@ -14,6 +14,10 @@
     constexpr Duration shortestSilence = std::chrono::milliseconds(100);
     /// A connection is silent after so many usual service times.
     constexpr int silenceFactor = 10;
+    /// Slots that urgent work must use on average for one to be kept free for it.
+    constexpr double leastReserveUse = 0.5;
+    /// Weight of the latest sub-query in the share of urgent ones.
+    constexpr double urgentShareWeight = 1.0 / 64;
     /// Most sub-queries that wait for one target.
     constexpr std::size_t maxWaiting = 4096;
 
@@ -69,9 +73,22 @@
     return std::min(m_ramp.limit(m_share), m_connections + 1);
 }
 
+std::uint32_t TargetLane::reserve() const
+{
+    // A slot kept free that urgent work would not fill half of the time costs more than it gives.
+    bool worthwhile = limit() > 1 && m_urgentShare * limit() >= leastReserveUse;
+    return worthwhile ? 1 : 0;
+}
+
+void TargetLane::noteUrgency(Urgency urgency)
+{
+    m_urgentShare += ((urgency == Urgency::Urgent ? 1 : 0) - m_urgentShare) * urgentShareWeight;
+}
+
 bool TargetLane::meetsDeadline(const Work& work, Instant now) const
 {
-    std::uint32_t reachable = std::max(limit(), 1U);
+    std::uint32_t kept = work.context->urgency == Urgency::Urgent ? 0 : reserve();
+    std::uint32_t reachable = std::max(limit() - kept, 1U);
     Duration serviceTime = std::max(m_ramp.serviceTime(), unknownServiceTime);
     std::size_t ahead = m_queue.ahead(work.context->urgency) + atWork();
     auto rounds = static_cast<Duration::rep>(ahead / reachable);
@@ -95,7 +112,7 @@
 
 void TargetLane::sendWaiting(Instant now, LaneActions& actions)
 {
-    while (atWork() < limit()) {
+    while (atWork() + (m_queue.urgentWaits() ? 0 : reserve()) < limit()) {
         auto work = m_queue.pop();
         if (!work)
             return;
@@ -109,6 +126,7 @@
 
 void TargetLane::dispatch(Work work, Instant now, LaneActions& actions)
 {
+    noteUrgency(work.context->urgency);
     Duration remaining = work.deadline - now;
     bool mayGiveUpEarly = work.context->repeatable && m_ramp.state() == ColdRamp::State::Warm;
     Duration silence = std::max(shortestSilence, m_ramp.serviceTime() * silenceFactor);
--- a/Pimentopoint/src/Target/TargetLane.h
+++ b/Pimentopoint/src/Target/TargetLane.h
@@ -63,6 +63,9 @@
     };
 
     std::uint32_t limit() const;
+    /// \returns slots that ordinary work leaves free for urgent work to come
+    std::uint32_t reserve() const;
+    void noteUrgency(Urgency urgency);
     bool meetsDeadline(const Work& work, Instant now) const;
     void applyPendingShare(Instant now);
     void endQuarantines(Instant now);
@@ -83,6 +86,7 @@
     AdmissionQueue m_queue;
     std::unordered_map<AttemptId, InFlight> m_inFlight;
     std::vector<Instant> m_quarantine;
+    double m_urgentShare = 0; ///< Of the latest sub-queries sent.
     std::uint32_t m_connections = 0; ///< Connections that are held for open.
 };
 
--- a/test/Lane.cpp
+++ b/test/Lane.cpp
@@ -321,3 +321,32 @@
     bench.end(3, ExchangeEnd::TimedOut);
     CHECK(bench.lane.ramp().state() == ColdRamp::State::Warm);
 }
+
+TEST_CASE("while urgent work is usual ordinary work leaves a slot free for it, and takes it back when it is not")
+{
+    LaneBench bench({ 3, 2, 8 });
+    bench.warm();
+    std::uint64_t number = 10000;
+    for (int i = 0; i < 200; ++i) {
+        bench.submit(++number, 1s, i % 2 ? Urgency::Urgent : Urgency::Ordinary);
+        bench.clock.advance(usualService);
+        bench.end(number);
+    }
+    bench.actions = {};
+    for (int i = 0; i < 5; ++i)
+        bench.submit(++number, 10s);
+    CHECK(bench.actions.dispatches.size() == 2);
+    bench.submit(++number, 10s, Urgency::Urgent);
+    CHECK(bench.actions.dispatches.size() == 3);
+    CHECK(bench.lane.atWork() == 3);
+    SECTION("no urgent work any more")
+    {
+        for (int i = 0; i < 400; ++i) {
+            bench.submit(++number, 10s);
+            bench.clock.advance(usualService);
+            bench.end(bench.actions.dispatches.front().attempt.number());
+            bench.actions.dispatches.erase(bench.actions.dispatches.begin());
+        }
+        CHECK(bench.lane.atWork() == 3);
+    }
+}
