Choose routes for urgent work by what goes before it

Cause: a gateway reported its whole queue with each reply, so under overload every route looked equally full to an urgent query, though only urgent work and what is running goes before it. Ruled out: a second figure on the wire (a reply has the urgency of its own sub-query). Change: a lane reports what a sub-query of that urgency would find before it; the board keeps load by urgency.

--- a/Pimentopoint/src/Caller/QueryRun.cpp
+++ b/Pimentopoint/src/Caller/QueryRun.cpp
@@ -82,7 +82,7 @@
     ShardRun& run = m_shards[index];
     if (m_replyDeadline - now < leastUsefulTime)
         return false;
-    auto route = m_environment.router.choose(m_documents, *run.shard, run.exclusions);
+    auto route = m_environment.router.choose(m_documents, *run.shard, m_front->urgency(), run.exclusions);
     if (!route)
         return false;
     bool extra = kind == SendKind::Hedge || kind == SendKind::Retry;
--- a/Pimentopoint/src/Caller/Router.h
+++ b/Pimentopoint/src/Caller/Router.h
@@ -16,6 +16,7 @@
     MemberName gateway;
     Endpoint endpoint; ///< The gateway's, for frames.
     WarmthHint hint;
+    Urgency urgency = Urgency::Ordinary; ///< Of the sub-query that goes this way.
 };
 
 /// What a choice of route must avoid.
@@ -38,8 +39,8 @@
 class Router {
 public:
     virtual ~Router() = default;
-    /// \returns a route to a replica of \a shard, or nothing if there is none
-    virtual std::optional<Route> choose(const PinnedDocuments& documents, const Shard& shard, const RouteExclusions& exclusions) = 0;
+    /// \returns a route to a replica of \a shard for a sub-query of \a urgency, or nothing if there is none
+    virtual std::optional<Route> choose(const PinnedDocuments& documents, const Shard& shard, Urgency urgency, const RouteExclusions& exclusions) = 0;
     virtual void sent(const Route& route) = 0;
     /// Notes that a sub-query on \a route is no longer waited for, which says nothing against the route.
     virtual void abandoned(const Route& route) = 0;
--- a/Pimentopoint/src/Caller/TargetBoard.cpp
+++ b/Pimentopoint/src/Caller/TargetBoard.cpp
@@ -54,6 +54,13 @@
     return m_random.below(bound);
 }
 
+std::uint32_t TargetBoard::waitingFor(const RouteMemo& memo, Urgency urgency)
+{
+    std::uint32_t urgent = memo.outstanding[index(Urgency::Urgent)];
+    std::uint32_t ordinary = memo.outstanding[index(Urgency::Ordinary)];
+    return memo.queued[index(urgency)] + urgent + (urgency == Urgency::Urgent ? 0 : ordinary);
+}
+
 std::uint64_t TargetBoard::loadOf(const Target& target, const Share& share, bool trickle, Route& route)
 {
     Instant now = m_clock.now();
@@ -63,14 +70,14 @@
     route.hint = memo.warmth;
     const RouteMemo& onRoute = memo.routes[route.gateway];
     std::uint32_t usable = onRoute.cold ? share.coldLimit() : share.slots();
-    std::uint64_t load = (onRoute.outstanding + onRoute.queued) * loadScale / std::max(usable, 1U);
+    std::uint64_t load = (waitingFor(onRoute, route.urgency)) * loadScale / std::max(usable, 1U);
     load += target.dataCentre() == m_home ? 0 : crossingLoad;
     load += onRoute.cold && !trickle ? coldLoad : 0;
     load += now < memo.avoidUntil ? avoidedLoad : 0;
     return load;
 }
 
-std::vector<TargetBoard::Candidate> TargetBoard::candidates(const PinnedDocuments& documents, const Shard& shard,
+std::vector<TargetBoard::Candidate> TargetBoard::candidates(const PinnedDocuments& documents, const Shard& shard, Urgency urgency,
     const RouteExclusions& exclusions)
 {
     const Configuration& configuration = *documents.configuration;
@@ -91,7 +98,7 @@
             auto gateway = gateways->find(owner.gateway);
             if (gateway == gateways->end() || exclusions.excludes(id, owner.gateway))
                 continue;
-            Candidate candidate { { id, owner.gateway, gateway->second.tcp(), {} }, 0 };
+            Candidate candidate { { id, owner.gateway, gateway->second.tcp(), {}, urgency }, 0 };
             candidate.load = loadOf(target, owner.share, trickle, candidate.route);
             candidate.load += gateway->second.state() == MemberState::Suspect ? avoidedLoad : 0;
             found.push_back(std::move(candidate));
@@ -100,9 +107,9 @@
     return found;
 }
 
-std::optional<Route> TargetBoard::choose(const PinnedDocuments& documents, const Shard& shard, const RouteExclusions& exclusions)
+std::optional<Route> TargetBoard::choose(const PinnedDocuments& documents, const Shard& shard, Urgency urgency, const RouteExclusions& exclusions)
 {
-    std::vector<Candidate> found = candidates(documents, shard, exclusions);
+    std::vector<Candidate> found = candidates(documents, shard, urgency, exclusions);
     if (found.empty())
         return std::nullopt;
     std::size_t start = random(found.size());
@@ -115,16 +122,16 @@
 {
     Part& shard = part(route.target);
     std::lock_guard lock(shard.mutex);
-    ++shard.memos[route.target].routes[route.gateway].outstanding;
+    ++shard.memos[route.target].routes[route.gateway].outstanding[index(route.urgency)];
 }
 
 void TargetBoard::abandoned(const Route& route)
 {
     Part& shard = part(route.target);
     std::lock_guard lock(shard.mutex);
-    RouteMemo& memo = shard.memos[route.target].routes[route.gateway];
-    if (memo.outstanding)
-        --memo.outstanding;
+    std::uint32_t& outstanding = shard.memos[route.target].routes[route.gateway].outstanding[index(route.urgency)];
+    if (outstanding)
+        --outstanding;
 }
 
 void TargetBoard::ended(const Route& route, const SubReply* reply)
@@ -134,13 +141,14 @@
     std::lock_guard lock(shard.mutex);
     Memo& memo = shard.memos[route.target];
     RouteMemo& onRoute = memo.routes[route.gateway];
-    if (onRoute.outstanding)
-        --onRoute.outstanding;
+    std::uint32_t& outstanding = onRoute.outstanding[index(route.urgency)];
+    if (outstanding)
+        --outstanding;
     if (!reply || reply->outcome == Outcome::Unknown || reply->notRun == NotRunReason::Unreachable)
         memo.avoidUntil = now + avoidTime;
     if (!reply)
         return;
-    onRoute.queued = reply->queued;
+    onRoute.queued[index(route.urgency)] = reply->queued;
     onRoute.cold = reply->cold;
     if (reply->warmth.incarnation.value())
         memo.warmth = reply->warmth;
--- a/Pimentopoint/src/Caller/TargetBoard.h
+++ b/Pimentopoint/src/Caller/TargetBoard.h
@@ -25,17 +25,18 @@
     /// Sets which members may be used as gateways.
     void setMembers(const std::vector<MemberRecord>& members);
 
-    std::optional<Route> choose(const PinnedDocuments& documents, const Shard& shard, const RouteExclusions& exclusions) override;
+    std::optional<Route> choose(const PinnedDocuments& documents, const Shard& shard, Urgency urgency, const RouteExclusions& exclusions) override;
     void sent(const Route& route) override;
     void abandoned(const Route& route) override;
     void ended(const Route& route, const SubReply* reply) override;
 
 private:
     struct RouteMemo {
-        std::uint32_t outstanding = 0;
-        std::uint32_t queued = 0;
+        std::array<std::uint32_t, 2> outstanding {}; ///< By urgency.
+        std::array<std::uint32_t, 2> queued {}; ///< What a sub-query of each urgency would wait for.
         bool cold = false; ///< Whether the gateway holds the target for cold.
     };
+    static std::size_t index(Urgency urgency) { return static_cast<std::size_t>(urgency); }
     struct Memo {
         std::map<MemberName, RouteMemo> routes; ///< By gateway.
         WarmthHint warmth;
@@ -55,7 +56,9 @@
 
     Part& part(TargetId target) { return m_parts[target.value() % partCount]; }
     std::shared_ptr<const ShareTable> shares(const ConfigurationPointer& configuration);
-    std::vector<Candidate> candidates(const PinnedDocuments& documents, const Shard& shard, const RouteExclusions& exclusions);
+    std::vector<Candidate> candidates(const PinnedDocuments& documents, const Shard& shard, Urgency urgency, const RouteExclusions& exclusions);
+    /// \returns how many sub-queries one of \a urgency would find before it
+    static std::uint32_t waitingFor(const RouteMemo& memo, Urgency urgency);
     std::uint64_t loadOf(const Target& target, const Share& share, bool trickle, Route& route);
     std::uint64_t random(std::uint64_t bound);
 
--- a/Pimentopoint/src/Target/TargetLane.cpp
+++ b/Pimentopoint/src/Target/TargetLane.cpp
@@ -101,11 +101,11 @@
     endQuarantines(now);
     m_ramp.hint(hint);
     if (work.deadline <= now)
-        return refuse(work.attempt, NotRunReason::Deadline, false, actions);
+        return refuse(work, NotRunReason::Deadline, actions);
     if (m_share.empty())
-        return refuse(work.attempt, now < m_openAt || m_pendingShare ? NotRunReason::Starting : NotRunReason::NotOwner, false, actions);
+        return refuse(work, now < m_openAt || m_pendingShare ? NotRunReason::Starting : NotRunReason::NotOwner, actions);
     if (m_queue.size() >= maxWaiting || !meetsDeadline(work, now))
-        return refuse(work.attempt, NotRunReason::Shed, false, actions);
+        return refuse(work, NotRunReason::Shed, actions);
     m_queue.push(std::move(work));
     sendWaiting(now, actions);
 }
@@ -118,7 +118,7 @@
             return;
         // What cannot be done in time is not begun.
         if (work->deadline <= now || work->deadline < now + m_ramp.serviceTime())
-            refuse(work->attempt, NotRunReason::Deadline, false, actions);
+            refuse(*work, NotRunReason::Deadline, actions);
         else
             dispatch(std::move(*work), now, actions);
     }
@@ -137,22 +137,21 @@
     m_inFlight.emplace(attempt, InFlight { std::move(work), now });
 }
 
-void TargetLane::refuse(const AttemptId& attempt, NotRunReason reason, bool reachedTarget, LaneActions& actions)
+void TargetLane::refuse(const Work& work, NotRunReason reason, LaneActions& actions)
 {
     SubReply reply;
     reply.outcome = Outcome::NotRun;
     reply.notRun = reason;
-    reply.reachedTarget = reachedTarget;
-    finish(attempt, std::move(reply), actions);
+    finish(work, std::move(reply), actions);
 }
 
-void TargetLane::finish(const AttemptId& attempt, SubReply reply, LaneActions& actions)
+void TargetLane::finish(const Work& work, SubReply reply, LaneActions& actions)
 {
-    reply.attempt = attempt.number();
-    reply.queued = static_cast<std::uint32_t>(m_queue.size() + atWork());
+    reply.attempt = work.attempt.number();
+    reply.queued = static_cast<std::uint32_t>(m_queue.ahead(work.context->urgency) + atWork());
     reply.cold = m_ramp.state() == ColdRamp::State::Cold;
     reply.warmth = m_ramp.warmth();
-    actions.finished.push_back({ attempt, std::move(reply) });
+    actions.finished.push_back({ work.attempt, std::move(reply) });
 }
 
 SubReply TargetLane::replyFor(const ExchangeResult& result)
@@ -240,7 +239,7 @@
     m_inFlight.erase(found);
     noteEnd(result, exchange, now);
     if (!exchange.abandoned)
-        finish(result.attempt, replyFor(result), actions);
+        finish(exchange.work, replyFor(result), actions);
     applyPendingShare(now);
     endQuarantines(now);
     sendWaiting(now, actions);
@@ -263,14 +262,14 @@
     applyPendingShare(now);
     endQuarantines(now);
     for (const Work& work : m_queue.removeExpired(now))
-        refuse(work.attempt, NotRunReason::Deadline, false, actions);
+        refuse(work, NotRunReason::Deadline, actions);
     sendWaiting(now, actions);
 }
 
 void TargetLane::refuseWaiting(NotRunReason reason, LaneActions& actions)
 {
     for (const Work& work : m_queue.removeAll())
-        refuse(work.attempt, reason, false, actions);
+        refuse(work, reason, actions);
 }
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Target/TargetLane.h
+++ b/Pimentopoint/src/Target/TargetLane.h
@@ -71,8 +71,8 @@
     void endQuarantines(Instant now);
     void sendWaiting(Instant now, LaneActions& actions);
     void dispatch(Work work, Instant now, LaneActions& actions);
-    void refuse(const AttemptId& attempt, NotRunReason reason, bool reachedTarget, LaneActions& actions);
-    void finish(const AttemptId& attempt, SubReply reply, LaneActions& actions);
+    void refuse(const Work& work, NotRunReason reason, LaneActions& actions);
+    void finish(const Work& work, SubReply reply, LaneActions& actions);
     void noteEnd(const ExchangeResult& result, const InFlight& exchange, Instant now);
     static SubReply replyFor(const ExchangeResult& result);
 
--- a/test/Board.cpp
+++ b/test/Board.cpp
@@ -29,9 +29,9 @@
         }
         board.setMembers(members);
     }
-    Route choose(const RouteExclusions& exclusions = {})
+    Route choose(const RouteExclusions& exclusions = {}, Urgency urgency = Urgency::Ordinary)
     {
-        auto route = board.choose(documents, documents.configuration->shardGroups().front().shards().front(), exclusions);
+        auto route = board.choose(documents, documents.configuration->shardGroups().front().shards().front(), urgency, exclusions);
         REQUIRE(route);
         return *route;
     }
@@ -98,3 +98,24 @@
     for (int i = 0; i < choices; ++i)
         CHECK(bench.choose().target == targetIdOf(TargetName("near")));
 }
+
+TEST_CASE("for urgent work only what goes before it counts")
+{
+    BoardBench bench;
+    Route first = bench.choose();
+    bench.reply(first, 9, false);
+    RouteExclusions none;
+    Route urgent = bench.choose(none, Urgency::Urgent);
+    bench.reply(urgent, 0, false);
+    bench.board.sent(urgent);
+    Route other = bench.choose(none, Urgency::Urgent);
+    CHECK(other.target == urgent.target);
+    CHECK(other.gateway != urgent.gateway);
+    bench.reply(other, 0, false);
+    int onFirst = 0;
+    bench.board.abandoned(urgent);
+    for (int i = 0; i < 40; ++i)
+        onFirst += bench.choose(none, Urgency::Urgent).gateway == first.gateway;
+    CHECK(onFirst > 0);
+    CHECK(onFirst < 40);
+}
--- a/test/Query.cpp
+++ b/test/Query.cpp
@@ -13,7 +13,7 @@
 /// Offers replicas in order and remembers nothing.
 class FakeRouter : public Router {
 public:
-    std::optional<Route> choose(const PinnedDocuments&, const Shard& shard, const RouteExclusions& exclusions) override
+    std::optional<Route> choose(const PinnedDocuments&, const Shard& shard, Urgency, const RouteExclusions& exclusions) override
     {
         for (TargetId replica : shard.replicas()) {
             if (!exclusions.excludes(replica, MemberName("g1")))
