--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -118,7 +118,7 @@
               << "3. The servers. 37.5 million sub-queries a second over 3,100 servers are " << number(targetRate, 0) << " a second each; with 6 slots each must be done in " << number(serviceMilliseconds, 2)
               << " ms. No design of the query tier changes that sum.\n"
               << "4. The tail. For 99 of 100 queries of 250 sub-queries within 59 ms, at most " << number(subQueryTail, 0) << " of a million sub-queries may be later. Hedges bring a share h of late ones to about h times their own; the bench measures that with one straggler in fifty, not at this size.\n"
-              << "5. News of a region. A cut of 321 of 750 nodes takes minutes until every member holds every other for dead, and its return as long, over the bytes allowed. Fronts leave\n"
+              << "5. News of a region. A cut of 322 of 750 nodes takes minutes until every member holds every other for dead, and its return as long, over the bytes allowed. Fronts leave\n"
               << "   out a silent gateway by its connection in 0.4 s, so queries do not wait for that news; but a gateway held for dead is not asked until the news of its\n"
               << "   return arrives. What would carry it: one record for a region's state instead of one a member, or fewer sends of each piece of news.\n\n"
               << "Not measured: loss and delay between regions, 750 real processes, network cards.\n";
