Divide the run of a query: a shard's part and the merging of answers stand by themselves

Ruled out: any change of behaviour; the functions moved as they were. Change: internal::ShardRun with accept() and refusedForLoad(); internal::mergeShards().

--- a/Pimentopoint/src/Caller/QueryRun.cpp
+++ b/Pimentopoint/src/Caller/QueryRun.cpp
@@ -119,23 +119,7 @@
 
 void QueryRun::accept(ShardRun& run, const SubReply& reply, Instant now)
 {
-    Coverage inShard;
-    for (const KeyRange& range : reply.covered) {
-        if (!run.shard->range().contains(range) || !inShard.add(range))
-            return;
-    }
-    std::uint64_t before = 0;
-    for (const KeyRange& range : run.covered)
-        before += range.size();
-    std::uint64_t after = 0;
-    for (const KeyRange& range : reply.covered)
-        after += range.size();
-    if (after <= before)
-        return;
-    m_coveredKeys += after - before;
-    run.covered = reply.covered;
-    run.hits = reply.hits;
-    run.done = after == run.shard->range().size();
+    m_coveredKeys += run.accept(reply);
     m_doneShards += run.done;
     if (!m_halfDoneAt && 2 * m_doneShards >= m_shards.size())
         m_halfDoneAt = now;
@@ -386,8 +370,7 @@
 
 Congestion QueryRun::congestion() const
 {
-    auto refused = [](const ShardRun& run) { return !run.done && (run.refusal == NotRunReason::Shed || run.refusal == NotRunReason::Deadline); };
-    auto count = static_cast<std::size_t>(std::count_if(m_shards.begin(), m_shards.end(), refused));
+    auto count = static_cast<std::size_t>(std::count_if(m_shards.begin(), m_shards.end(), [](const ShardRun& run) { return run.refusedForLoad(); }));
     bool halfRefused = 2 * count >= m_shards.size();
     bool halfLate = m_halfDoneAt && *m_halfDoneAt - m_start > (m_replyDeadline - m_start) / congestionPart;
     if (!halfRefused && !halfLate)
@@ -406,36 +389,9 @@
         m_shards[attempt.shard].uncertainty = UnknownReason::Deadline;
     }
     m_attempts.clear();
-    Coverage coverage;
-    std::string hits;
-    bool anyUnknown = m_mayHaveRun;
-    NotRunReason refusal = NotRunReason::Deadline;
-    for (const ShardRun& run : m_shards) {
-        for (const KeyRange& range : run.covered)
-            coverage.add(range);
-        if (run.hits.size() > 2)
-            hits += (hits.empty() ? "" : ",") + run.hits.substr(1, run.hits.size() - 2);
-        anyUnknown = anyUnknown || (!run.done && run.uncertainty != UnknownReason::None);
-        if (run.refusal != NotRunReason::None)
-            refusal = run.refusal;
-        if (!run.done && run.uncertainty != UnknownReason::None)
-            m_answer.unknown = run.uncertainty;
-    }
-    m_answer.hits = "[" + hits + "]";
-    m_answer.coverage = coverage.fraction();
-    m_answer.missing = coverage.missing();
     m_answer.snapshot = m_group->snapshot();
     m_answer.configuration = m_documents.configuration->version();
-    if (anyUnknown && m_answer.unknown == UnknownReason::None)
-        m_answer.unknown = UnknownReason::Deadline;
-    bool nothing = m_answer.coverage.value() == 0;
-    if (m_answer.missing.empty())
-        m_answer.outcome = Outcome::Answered;
-    else if (anyUnknown && (nothing || !m_front->repeatable()))
-        m_answer.outcome = Outcome::Unknown;
-    else
-        m_answer.outcome = nothing ? Outcome::NotRun : Outcome::Partial;
-    m_answer.notRun = m_answer.outcome == Outcome::NotRun ? refusal : NotRunReason::None;
+    internal::mergeShards(m_shards, m_mayHaveRun, m_front->repeatable(), m_answer);
 }
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Caller/QueryRun.h
+++ b/Pimentopoint/src/Caller/QueryRun.h
@@ -6,6 +6,7 @@
 #include "ExtraSendBudget.h"
 #include "LatencyWindow.h"
 #include "Router.h"
+#include "ShardRun.h"
 
 #include <functional>
 #include <optional>
@@ -76,22 +77,7 @@
     Instant replyDeadline() const { return m_replyDeadline; }
 
 private:
-    struct ShardRun {
-        const Shard* shard = nullptr;
-        RouteExclusions exclusions;
-        unsigned outstanding = 0;
-        unsigned rounds = 0;
-        bool done = false;
-        unsigned hedges = 0; ///< Sent since the latest other send.
-        unsigned hedgeTries = 0; ///< Since the latest send of any kind.
-        bool failed = false; ///< No way is left to try.
-        std::optional<Instant> retryAt;
-        Instant sentAt {};
-        std::vector<KeyRange> covered;
-        std::string hits;
-        NotRunReason refusal = NotRunReason::None;
-        UnknownReason uncertainty = UnknownReason::None;
-    };
+    using ShardRun = internal::ShardRun;
     struct Attempt {
         std::size_t shard;
         Route route;
