--- a/Pimentopoint/src/Core/Ids.h
+++ b/Pimentopoint/src/Core/Ids.h
@@ -15,6 +15,14 @@
 PP_STRONG_TYPE(TargetName, std::string);
 /// 64-bit hash of a TargetName; travels in place of the name.
 PP_STRONG_TYPE(TargetId, std::uint64_t);
+/// Name of a service: targets that answer the same requests.
+PP_STRONG_TYPE(ServiceName, std::string);
+/// Name of a route in the routing table.
+PP_STRONG_TYPE(RouteName, std::string);
+/// Number of one send of a request to a target, unique within a process.
+PP_STRONG_TYPE(SendId, std::uint64_t);
+/// Number of a caller's request at this process.
+PP_STRONG_TYPE(CallId, std::uint64_t);
 /// Name of a data centre.
 PP_STRONG_TYPE(DataCentreName, std::string);
 /// Name of one process of the system, unique among the running ones.
--- /dev/null
+++ b/Pimentopoint/src/Core/LineWriter.cpp
@@ -0,0 +1,52 @@
+#include "LineWriter.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace pimentopoint {
+
+LineWriter::LineWriter(int descriptor)
+    : m_descriptor(descriptor)
+{
+    int flags = fcntl(descriptor, F_GETFL);
+    if (flags >= 0)
+        fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+void LineWriter::write(std::string_view line)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_waiting.size() + line.size() > mostWaiting) {
+        ++m_dropped;
+        return;
+    }
+    m_waiting.append(line);
+    flushLocked();
+}
+
+void LineWriter::flush()
+{
+    std::lock_guard lock(m_mutex);
+    flushLocked();
+}
+
+void LineWriter::flushLocked()
+{
+    std::size_t done = 0;
+    while (done < m_waiting.size()) {
+        ssize_t size = ::write(m_descriptor, m_waiting.data() + done, m_waiting.size() - done);
+        // A full pipe takes the rest later; a closed one never does, and the bound above holds.
+        if (size <= 0)
+            break;
+        done += static_cast<std::size_t>(size);
+    }
+    m_waiting.erase(0, done);
+}
+
+std::uint64_t LineWriter::dropped() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_dropped;
+}
+
+} // namespace pimentopoint
--- a/Pimentopoint/src/Core/Log.cpp
+++ b/Pimentopoint/src/Core/Log.cpp
@@ -1,11 +1,14 @@
 #include "Log.h"
 
+#include "LineWriter.h"
+
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace pimentopoint {
 
@@ -28,8 +31,9 @@
 
     class JsonSink : public google::LogSink {
     public:
-        JsonSink(const MemberName& host, const DataCentreName& dataCentre)
-            : m_origin("\"host\":" + quoteJson(host.value()) + ",\"dataCentre\":" + quoteJson(dataCentre.value()))
+        JsonSink(const MemberName& host, const DataCentreName& dataCentre, LineWriter* writer)
+            : m_writer(writer)
+            , m_origin("\"host\":" + quoteJson(host.value()) + ",\"dataCentre\":" + quoteJson(dataCentre.value()))
         {
         }
 
@@ -42,14 +46,36 @@
             bool structured = text.starts_with("\"event\":");
             line += structured ? std::string(text) : "\"event\":\"message\",\"text\":" + quoteJson(text);
             line += "}\n";
-            std::fwrite(line.data(), 1, line.size(), stderr);
+            if (m_writer)
+                m_writer->write(line);
+            else
+                std::fwrite(line.data(), 1, line.size(), stderr);
         }
 
     private:
+        LineWriter* m_writer;
         std::string m_origin;
     };
 
     JsonSink* installedSink = nullptr;
+    LineWriter* installedWriter = nullptr;
+
+    void install(const std::string& program, const MemberName& host, const DataCentreName& dataCentre, Severity least)
+    {
+        // With no zone named, the C library reads it anew for each line that glog stamps.
+        setenv("TZ", ":/etc/localtime", 0);
+        tzset();
+        FLAGS_logtostderr = false;
+        FLAGS_alsologtostderr = false;
+        for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
+            google::SetLogDestination(severity, "");
+        FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+        FLAGS_minloglevel = static_cast<int>(least);
+        static const std::string programName = program;
+        google::InitGoogleLogging(programName.c_str());
+        installedSink = new JsonSink(host, dataCentre, installedWriter);
+        google::AddLogSink(installedSink);
+    }
 
 } // namespace
 
@@ -70,19 +96,24 @@
 
 void Log::start(const std::string& program, const MemberName& host, const DataCentreName& dataCentre, Severity least)
 {
-    // With no zone named, the C library reads it anew for each line that glog stamps.
-    setenv("TZ", ":/etc/localtime", 0);
-    tzset();
-    for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
-        google::SetLogDestination(severity, "");
-    FLAGS_logtostderr = false;
-    FLAGS_alsologtostderr = false;
-    FLAGS_stderrthreshold = google::NUM_SEVERITIES;
-    FLAGS_minloglevel = static_cast<int>(least);
-    static const std::string programName = program;
-    google::InitGoogleLogging(programName.c_str());
-    installedSink = new JsonSink(host, dataCentre);
-    google::AddLogSink(installedSink);
+    install(program, host, dataCentre, least);
+}
+
+void Log::startNonBlocking(const std::string& program, const MemberName& host, const DataCentreName& dataCentre, Severity least)
+{
+    installedWriter = new LineWriter(STDOUT_FILENO);
+    install(program, host, dataCentre, least);
+}
+
+void Log::flush()
+{
+    if (installedWriter)
+        installedWriter->flush();
+}
+
+std::uint64_t Log::dropped()
+{
+    return installedWriter ? installedWriter->dropped() : 0;
 }
 
 void Log::event(Severity severity, std::string_view event, std::initializer_list<LogField> fields)
--- a/Pimentopoint/src/Core/Log.h
+++ b/Pimentopoint/src/Core/Log.h
@@ -48,6 +48,12 @@
 public:
     /// Starts glog with the JSON sink; call once, before any thread logs.
     static void start(const std::string& program, const MemberName& host, const DataCentreName& dataCentre, Severity least);
+    /// Like start(), but writes to standard output without ever blocking: lines that find it full are counted and left out.
+    static void startNonBlocking(const std::string& program, const MemberName& host, const DataCentreName& dataCentre, Severity least);
+    /// Writes what waits, as far as standard output takes it.
+    static void flush();
+    /// \returns the lines left out since the start
+    static std::uint64_t dropped();
     /// Logs \a event with \a fields.
     static void event(Severity severity, std::string_view event, std::initializer_list<LogField> fields = {});
 };
--- /dev/null
+++ b/Pimentopoint/src/Net/CallerLink.cpp
@@ -0,0 +1,289 @@
+#include "CallerLink.h"
+
+#include "HttpText.h"
+#include "SocketOptions.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <cstdio>
+
+namespace pimentopoint {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr std::size_t readBytes = 16 * 1024;
+    /// Bytes read ahead of the request at work; beyond them the caller waits.
+    constexpr std::size_t mostReadAhead = 64 * 1024;
+    /// A caller that takes no byte of its answer for this long is gone; several round trips and repeats of a lost packet.
+    constexpr Duration writeTimeout = std::chrono::seconds(10);
+    /// For which a connection is read after its last answer, so that the answer isn't destroyed by a reset.
+    constexpr Duration lingerTime = std::chrono::seconds(1);
+    constexpr Duration silence = std::chrono::seconds(10);
+    /// Patience of callers that state none: the common timeout of HTTP clients.
+    constexpr Duration defaultPatience = std::chrono::seconds(30);
+    constexpr unsigned badRequest = 400;
+    constexpr unsigned requestTimeout = 408;
+    constexpr unsigned bodyTooLarge = 413;
+    constexpr unsigned headerTooLarge = 431;
+
+    std::string text(boost::beast::string_view value)
+    {
+        return std::string(value.data(), value.size());
+    }
+
+    Duration patienceOf(const std::string& value)
+    {
+        double milliseconds = 0;
+        auto [end, failed] = std::from_chars(value.data(), value.data() + value.size(), milliseconds);
+        constexpr double most = 1e9;
+        if (failed != std::errc() || milliseconds < 0 || milliseconds > most)
+            return defaultPatience;
+        constexpr double microsecondsPerMillisecond = 1000;
+        return Duration(static_cast<Duration::rep>(milliseconds * microsecondsPerMillisecond));
+    }
+
+} // namespace
+
+CallerLink::CallerLink(asio::ip::tcp::socket socket, const Clock& clock, const HeaderDialect& dialect, Hooks hooks)
+    : m_socket(std::move(socket))
+    , m_clock(clock)
+    , m_dialect(dialect)
+    , m_hooks(std::move(hooks))
+    , m_activeAt(clock.now())
+{
+}
+
+void CallerLink::start()
+{
+    boost::system::error_code ignored;
+    m_socket.non_blocking(true, ignored);
+    setUpSocket(m_socket, silence, true);
+    read();
+}
+
+void CallerLink::read()
+{
+    if (m_reading || m_closed || m_in.size() > mostReadAhead)
+        return;
+    m_reading = true;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code& error) {
+        self->m_reading = false;
+        if (!self->m_closed)
+            self->received(error);
+    });
+}
+
+void CallerLink::received(const boost::system::error_code& waitError)
+{
+    static std::array<char, readBytes> bytes;
+    boost::system::error_code error = waitError;
+    std::size_t size = error ? 0 : m_socket.read_some(asio::buffer(bytes), error);
+    if (error == asio::error::would_block) {
+        read();
+        return;
+    }
+    if (error) {
+        ended();
+        return;
+    }
+    m_activeAt = m_clock.now();
+    if (!m_lingering) {
+        m_in.append(bytes.data(), size);
+        advance();
+    }
+    read();
+}
+
+void CallerLink::ended()
+{
+    if (m_call) {
+        CallId call = *m_call;
+        m_call.reset();
+        m_hooks.left(call);
+    }
+    close();
+}
+
+void CallerLink::renewParser()
+{
+    CallerLimits limits = m_hooks.limits();
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    m_parser->body_limit(limits.bodyBytes);
+    m_requestSince = m_clock.now();
+    m_continueSent = false;
+}
+
+void CallerLink::advance()
+{
+    while (!m_call && !m_writing && !m_lingering && !m_in.empty()) {
+        if (!m_parser)
+            renewParser();
+        boost::system::error_code error;
+        std::size_t used = m_parser->put(asio::buffer(m_in), error);
+        m_in.erase(0, used);
+        if (error && error != http::error::need_more) {
+            unsigned status = error == http::error::header_limit ? headerTooLarge : error == http::error::body_limit ? bodyTooLarge
+                                                                                                                     : badRequest;
+            reject(status, "the request can't be read");
+            return;
+        }
+        if (m_parser->is_done()) {
+            dispatch();
+            continue;
+        }
+        if (m_parser->is_header_done() && !m_continueSent && !m_parser->get()[http::field::expect].empty()) {
+            m_continueSent = true;
+            // The caller waits for these few bytes; the socket's buffer is empty here.
+            boost::system::error_code ignored;
+            asio::write(m_socket, asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
+        }
+        if (error || !used)
+            return;
+    }
+}
+
+void CallerLink::dispatch()
+{
+    const auto& message = m_parser->get();
+    auto request = std::make_shared<CallerRequest>();
+    request->id = text(message[m_dialect.requestId]);
+    request->method = text(message.method_string());
+    request->target = text(message.target());
+    request->host = text(message[http::field::host]);
+    request->patience = patienceOf(text(message[m_dialect.deadline]));
+    request->arrivedAt = m_clock.now();
+    request->headers = endToEndHeaders(message, { m_dialect.deadline, m_dialect.targetName });
+    m_keepAlive = message.keep_alive();
+    m_headRequest = request->method == "HEAD";
+    request->body = std::move(m_parser->get().body());
+    m_parser.reset();
+    if (request->id.empty() || request->target.empty() || request->target.front() != '/') {
+        reject(badRequest, "the request has no id or no path");
+        return;
+    }
+    // The answer may come before the hook returns.
+    m_call = CallId(0);
+    CallId call = m_hooks.request(shared_from_this(), std::move(request));
+    if (m_call)
+        m_call = call;
+}
+
+void CallerLink::reject(unsigned status, const char* reason)
+{
+    m_keepAlive = false;
+    CallerAnswer rejection;
+    rejection.status = status;
+    rejection.reason = reason;
+    answer(rejection);
+}
+
+void CallerLink::answer(const CallerAnswer& answer)
+{
+    m_call.reset();
+    if (m_closed)
+        return;
+    m_keepAlive = m_keepAlive && !m_hooks.draining();
+    m_out.clear();
+    m_out.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ").append(reasonPhrase(answer.status)).append("\r\n");
+    for (const auto& [name, value] : answer.headers)
+        appendHeader(m_out, name, value);
+    if (answer.fannedOut) {
+        appendHeader(m_out, m_dialect.partStamps, answer.partStamps);
+        appendHeader(m_out, m_dialect.missingParts, std::to_string(answer.missingParts));
+    }
+    if (answer.retryAfter > Duration(0)) {
+        char seconds[32];
+        std::snprintf(seconds, sizeof seconds, "%.3f", std::chrono::duration<double>(answer.retryAfter).count());
+        appendHeader(m_out, "Retry-After", seconds);
+    }
+    constexpr unsigned noContent = 204;
+    constexpr unsigned notModified = 304;
+    if (answer.status != noContent && answer.status != notModified && !(m_headRequest && answer.body.empty()))
+        appendHeader(m_out, "Content-Length", std::to_string(answer.body.size()));
+    if (!m_keepAlive)
+        appendHeader(m_out, "Connection", "close");
+    m_out.append("\r\n");
+    if (!m_headRequest)
+        m_out.append(answer.body);
+    write();
+}
+
+void CallerLink::write()
+{
+    m_writing = true;
+    m_activeAt = m_clock.now();
+    asio::async_write(m_socket, asio::buffer(m_out), [self = shared_from_this()](const boost::system::error_code& error, std::size_t) { self->written(error); });
+}
+
+void CallerLink::written(const boost::system::error_code& error)
+{
+    m_writing = false;
+    if (m_closed)
+        return;
+    if (error) {
+        close();
+        return;
+    }
+    m_activeAt = m_clock.now();
+    if (!m_keepAlive) {
+        beginLinger();
+        return;
+    }
+    advance();
+    read();
+}
+
+void CallerLink::beginLinger()
+{
+    boost::system::error_code ignored;
+    m_lingering = true;
+    m_in.clear();
+    m_in.shrink_to_fit();
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    read();
+}
+
+void CallerLink::check(Instant now)
+{
+    if (m_closed || m_call)
+        return;
+    CallerLimits limits = m_hooks.limits();
+    if (m_lingering) {
+        if (now - m_activeAt > lingerTime)
+            close();
+    } else if (m_writing) {
+        if (now - m_activeAt > writeTimeout)
+            close();
+    } else if (m_parser && !m_parser->is_header_done()) {
+        if (now - m_requestSince > limits.headerTimeout)
+            reject(requestTimeout, "the header took too long");
+    } else if (now - m_activeAt > limits.idleTimeout) {
+        close();
+    }
+}
+
+bool CallerLink::closeIfIdle()
+{
+    if (m_closed || m_call || m_writing || m_lingering || m_parser || !m_in.empty())
+        return false;
+    close();
+    return true;
+}
+
+void CallerLink::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_hooks.closed(shared_from_this());
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Net/HttpReader.cpp
@@ -0,0 +1,144 @@
+#include "HttpReader.h"
+
+#include "SocketOptions.h"
+
+#include <boost/asio/write.hpp>
+
+namespace pimentopoint {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr Duration silence = std::chrono::seconds(2);
+    /// A page is about a megabyte; base64 and JSON add a half.
+    constexpr std::uint64_t mostBodyBytes = 16 * 1024 * 1024;
+    constexpr std::size_t readBytes = 16 * 1024;
+
+} // namespace
+
+HttpReader::HttpReader(asio::io_context& context, Endpoint server)
+    : m_context(context)
+    , m_server(std::move(server))
+    , m_timer(context)
+{
+}
+
+void HttpReader::get(const std::string& target, Duration timeout, Done done)
+{
+    ++m_turn;
+    m_done = std::move(done);
+    m_request = "GET " + target + " HTTP/1.1\r\nHost: " + m_server.text() + "\r\n\r\n";
+    m_in.clear();
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->body_limit(mostBodyBytes);
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([self = shared_from_this(), turn = m_turn](const boost::system::error_code& cancelled) {
+        if (!cancelled && turn == self->m_turn)
+            self->fail("no answer in time");
+    });
+    if (m_socket)
+        write();
+    else
+        connect();
+}
+
+void HttpReader::connect()
+{
+    m_socket.emplace(m_context);
+    boost::system::error_code error;
+    m_socket->open(asio::ip::tcp::v4(), error);
+    if (!error)
+        setUpSocket(*m_socket, silence, true);
+    asio::ip::tcp::endpoint endpoint(asio::ip::make_address_v4(m_server.address()), m_server.port());
+    m_socket->async_connect(endpoint, [self = shared_from_this(), turn = m_turn](const boost::system::error_code& failed) {
+        if (turn != self->m_turn || !self->m_done)
+            return;
+        if (failed)
+            self->fail(failed.message());
+        else
+            self->write();
+    });
+}
+
+void HttpReader::write()
+{
+    asio::async_write(*m_socket, asio::buffer(m_request), [self = shared_from_this(), turn = m_turn](const boost::system::error_code& failed, std::size_t) {
+        if (turn != self->m_turn || !self->m_done)
+            return;
+        if (failed)
+            self->fail(failed.message());
+        else
+            self->read();
+    });
+}
+
+void HttpReader::read()
+{
+    m_chunk.resize(readBytes);
+    m_socket->async_read_some(asio::buffer(m_chunk), [self = shared_from_this(), turn = m_turn](const boost::system::error_code& failed, std::size_t size) {
+        if (turn == self->m_turn && self->m_done)
+            self->received(failed, size);
+    });
+}
+
+void HttpReader::received(const boost::system::error_code& failed, std::size_t size)
+{
+    boost::system::error_code error;
+    if (failed) {
+        fail(failed.message());
+        return;
+    }
+    m_in.append(m_chunk.data(), size);
+    while (!m_in.empty() && !m_parser->is_done()) {
+        std::size_t used = m_parser->put(asio::buffer(m_in), error);
+        m_in.erase(0, used);
+        if (error == http::error::need_more || (!error && !used))
+            break;
+        if (error) {
+            fail(error.message());
+            return;
+        }
+    }
+    if (!m_parser->is_done()) {
+        read();
+        return;
+    }
+    Result result;
+    result.status = m_parser->get().result_int();
+    result.body = std::move(m_parser->get().body());
+    finish(std::move(result), m_in.empty() && m_parser->keep_alive());
+}
+
+void HttpReader::finish(Result result, bool reusable)
+{
+    ++m_turn;
+    m_timer.cancel();
+    m_parser.reset();
+    m_chunk = {};
+    m_in = {};
+    if (!reusable)
+        m_socket.reset();
+    Done done = std::move(m_done);
+    m_done = nullptr;
+    done(std::move(result));
+}
+
+void HttpReader::fail(std::string cause)
+{
+    Result result;
+    result.cause = std::move(cause);
+    finish(std::move(result), false);
+}
+
+void HttpReader::close()
+{
+    ++m_turn;
+    m_done = nullptr;
+    m_timer.cancel();
+    m_socket.reset();
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Net/HttpText.cpp
@@ -0,0 +1,68 @@
+#include "HttpText.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace pimentopoint {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+    std::string_view view(boost::beast::string_view text)
+    {
+        return { text.data(), text.size() };
+    }
+
+} // namespace
+
+bool sameHeader(std::string_view a, std::string_view b)
+{
+    return boost::beast::iequals({ a.data(), a.size() }, { b.data(), b.size() });
+}
+
+HeaderList endToEndHeaders(const http::fields& fields, std::initializer_list<std::string_view> dropped)
+{
+    std::vector<std::string_view> named;
+    for (const auto& token : http::token_list(fields[http::field::connection]))
+        named.push_back(view(token));
+    HeaderList headers;
+    for (const auto& field : fields) {
+        switch (field.name()) {
+        case http::field::connection:
+        case http::field::keep_alive:
+        case http::field::proxy_authenticate:
+        case http::field::proxy_authorization:
+        case http::field::proxy_connection:
+        case http::field::te:
+        case http::field::trailer:
+        case http::field::transfer_encoding:
+        case http::field::upgrade:
+        case http::field::content_length:
+        case http::field::expect:
+            continue;
+        default:
+            break;
+        }
+        std::string_view name = view(field.name_string());
+        auto same = [name](std::string_view other) { return sameHeader(name, other); };
+        if (std::any_of(named.begin(), named.end(), same) || std::any_of(dropped.begin(), dropped.end(), same))
+            continue;
+        headers.emplace_back(name, view(field.value()));
+    }
+    return headers;
+}
+
+void appendHeader(std::string& text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string_view reasonPhrase(unsigned status)
+{
+    return view(http::obsolete_reason(http::int_to_status(status)));
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Net/MemberSocket.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "../Peer/Membership.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+
+namespace pimentopoint {
+
+/// \class MemberSocket
+/// \ingroup Net
+/// \brief Carries the datagrams of a Membership.
+class MemberSocket {
+public:
+    /// \throws ListenFailure
+    MemberSocket(boost::asio::io_context& context, const Clock& clock, const Endpoint& endpoint, Membership& membership, std::function<void()> changed);
+
+    void tick();
+    void leave();
+    void close();
+
+private:
+    void receive();
+    void perform(const MembershipActions& actions);
+
+    boost::asio::ip::udp::socket m_socket;
+    const Clock& m_clock;
+    Membership& m_membership;
+    std::function<void()> m_changed;
+    std::array<char, 2048> m_datagram {}; ///< Longer ones are none of ours.
+    boost::asio::ip::udp::endpoint m_from;
+};
+
+} // namespace pimentopoint
--- a/Pimentopoint/src/Operator/DocumentReader.cpp
+++ b/Pimentopoint/src/Operator/DocumentReader.cpp
@@ -155,6 +155,19 @@
     return has(key) ? duration(key, least, most) : fallback;
 }
 
+double DocumentReader::real(const std::string& key, double least, double most, double fallback)
+{
+    auto value = scalar(key, false);
+    if (!value)
+        return fallback;
+    double parsed = 0;
+    auto [end, failed] = std::from_chars(value->data(), value->data() + value->size(), parsed);
+    if (failed == std::errc() && end == value->data() + value->size() && parsed >= least && parsed <= most)
+        return parsed;
+    refuse(key, *value, std::to_string(least) + " to " + std::to_string(most));
+    return fallback;
+}
+
 Fraction DocumentReader::fraction(const std::string& key, Fraction fallback)
 {
     auto value = scalar(key, false);
--- a/Pimentopoint/src/Operator/DocumentReader.h
+++ b/Pimentopoint/src/Operator/DocumentReader.h
@@ -34,6 +34,7 @@
     std::string text(const std::string& key, std::string fallback);
     std::uint64_t number(const std::string& key, std::uint64_t least, std::uint64_t most);
     std::uint64_t number(const std::string& key, std::uint64_t least, std::uint64_t most, std::uint64_t fallback);
+    double real(const std::string& key, double least, double most, double fallback);
     Duration duration(const std::string& key, Duration least, Duration most);
     Duration duration(const std::string& key, Duration least, Duration most, Duration fallback);
     Fraction fraction(const std::string& key, Fraction fallback);
--- /dev/null
+++ b/Pimentopoint/src/Serve/CallEngine.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "../Caller/ExtraSendBudget.h"
+#include "../Caller/LatencyWindow.h"
+#include "../Core/Metrics.h"
+#include "CallRun.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <unordered_map>
+
+namespace pimentopoint {
+
+/// What the caller of CallEngine is to do.
+struct CallActions {
+    struct Send {
+        SendId send;
+        TargetName target;
+        Endpoint endpoint;
+        std::shared_ptr<const CallerRequest> request;
+        Instant deadline; ///< Until which the target may work.
+    };
+    struct Answer {
+        CallId call;
+        CallerAnswer answer;
+    };
+    std::vector<Send> sends;
+    std::vector<SendId> aborts; ///< Sends whose connection is to be closed.
+    std::vector<Answer> answers;
+};
+
+/// One line about a finished call, for the log.
+struct CallRecord {
+    const CallerRequest& request;
+    std::string route;
+    ConfigurationVersion version;
+    unsigned status;
+    const char* reason;
+    Duration taken;
+    unsigned missingParts;
+    unsigned extraSends;
+    std::string lastTarget;
+};
+
+/// Limits of a CallEngine.
+struct CallLimits {
+    Fraction extraShare { 0.17 }; ///< Repeats to first sends of a service; below the platform's bound by the spread of windows.
+    double firstExtras = 2; ///< Repeats allowed at the start, a host.
+    Duration releaseTime = std::chrono::milliseconds(300); ///< A send that nobody waits for may end within it; below the half second in which targets must be freed.
+};
+
+/// \class CallEngine
+/// \ingroup Serve
+/// \brief All decisions about callers' requests on one host: routes, sends, repeats, answers.
+/// \details Single-threaded and deterministic: events with a time in, actions out.
+class CallEngine {
+public:
+    using Recorder = std::function<void(const CallRecord&)>;
+
+    CallEngine(TargetPool& pool, Metrics& metrics, CallLimits limits, Recorder recorder);
+
+    void setRouting(RoutingTablePointer routing);
+    const RoutingTablePointer& routing() const { return m_routing; }
+
+    void begin(CallId call, std::shared_ptr<const CallerRequest> request, Instant now, CallActions& actions);
+    void ended(SendId send, TargetReply reply, Instant now, CallActions& actions);
+    /// The caller closed its connection.
+    void callerLeft(CallId call, Instant now, CallActions& actions);
+    void tick(Instant now, CallActions& actions);
+    /// Answers every call with what there is.
+    void expireAll(Instant now, CallActions& actions);
+    std::optional<Instant> nextWake() const;
+    std::size_t calls() const { return m_calls.size(); }
+
+private:
+    struct SendState {
+        CallId call;
+        std::size_t part;
+        TargetName target;
+        ServiceName service;
+        RouteName route;
+        Instant sentAt;
+        Duration late;
+        bool extra;
+        bool released = false;
+        Instant releaseEnd {};
+    };
+    struct Call {
+        std::unique_ptr<CallRun> run;
+        Instant wake = Instant::max();
+    };
+    struct RouteState {
+        LatencyWindow latencies;
+        double mean = 0; ///< Microseconds; 0 before the first reply.
+        std::map<std::string, double> turns; ///< Of weighted services.
+        explicit RouteState(double quantile)
+            : latencies(quantile)
+        {
+        }
+    };
+    class Environment;
+
+    RouteState& routeState(const RouteName& name);
+    ExtraSendBudget& budget(const ServiceName& service);
+    ServiceName chooseService(const RoutePolicy& route);
+    Duration lateAfter(const RoutePolicy& route) const;
+    Duration expected(const RoutePolicy& route) const;
+    void learn(const SendState& send, Duration taken);
+    void finish(CallId id, Instant now, CallActions& actions);
+    void reschedule(CallId id, Call& call);
+    void resumeWaiting(const ServiceName& service, Instant now, CallActions& actions);
+    void refuse(CallId call, const CallerRequest& request, unsigned status, const char* reason, Duration retryAfter, Instant now, CallActions& actions);
+    void noteWaiting(CallId id, const CallRun& run);
+
+    TargetPool& m_pool;
+    Metrics& m_metrics;
+    CallLimits m_limits;
+    Recorder m_recorder;
+    RoutingTablePointer m_routing;
+    std::unordered_map<CallId, Call> m_calls;
+    std::unordered_map<SendId, SendState> m_sends;
+    std::map<RouteName, std::unique_ptr<RouteState>> m_routes;
+    std::map<ServiceName, std::unique_ptr<ExtraSendBudget>> m_budgets;
+    std::map<ServiceName, std::deque<std::pair<CallId, std::size_t>>> m_waiting;
+    struct Timer {
+        Instant at;
+        CallId call; ///< 0: a released send.
+        SendId send;
+        bool operator>(const Timer& other) const { return at > other.at; }
+    };
+    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
+    std::uint64_t m_lastSend = 0;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -0,0 +1,273 @@
+#include "CallRun.h"
+
+#include "TopRecords.h"
+
+#include <algorithm>
+
+namespace pimentopoint {
+
+namespace {
+
+    /// Time before a caller's deadline or a route's timeout at which the answer leaves; covers the way to the caller.
+    constexpr Duration answerMargin = std::chrono::milliseconds(15);
+    /// Time before the objective at which a fan-out with enough shards is answered: the way from and to the caller.
+    constexpr Duration objectiveMargin = std::chrono::milliseconds(10);
+    /// Part of the objective after which a call that found no connection is refused: later the caller can't be served in time by another try.
+    constexpr double mostWaiting = 0.25;
+    /// When room is expected after a refusal: connections come free within a few service times.
+    constexpr Duration roomAfter = std::chrono::milliseconds(30);
+    constexpr unsigned noTargetStatus = 503;
+    constexpr unsigned brokenStatus = 502;
+    constexpr unsigned lateStatus = 504;
+
+    bool success(unsigned status) { return status >= 200 && status < 300; }
+
+} // namespace
+
+CallRun::CallRun(std::shared_ptr<const CallerRequest> request, RoutingTablePointer routing, const RoutePolicy& route, std::vector<ServiceName> services, Instant now)
+    : m_request(std::move(request))
+    , m_routing(std::move(routing))
+    , m_route(route)
+    , m_startedAt(now)
+    , m_deadline(m_request->arrivedAt + std::min(m_request->patience, route.timeout))
+{
+    m_parts.resize(services.size());
+    for (std::size_t i = 0; i < services.size(); ++i)
+        m_parts[i].service = std::move(services[i]);
+}
+
+void CallRun::begin(CallEnvironment& environment, Instant now)
+{
+    for (std::size_t i = 0; i < m_parts.size() && !m_finished; ++i)
+        trySend(environment, i, false, now);
+    settle(environment, now);
+}
+
+void CallRun::trySend(CallEnvironment& environment, std::size_t index, bool extra, Instant now)
+{
+    CallPart& part = m_parts[index];
+    part.waiting = false;
+    switch (environment.send(index, extra, now)) {
+    case CallEnvironment::Obstacle::None:
+        part.sentAt = now;
+        m_extraSends += extra;
+        return;
+    case CallEnvironment::Obstacle::Busy:
+        part.waiting = part.outstanding.empty();
+        return;
+    case CallEnvironment::Obstacle::Absent:
+    case CallEnvironment::Obstacle::NoBudget:
+        if (part.outstanding.empty() && !part.failed) {
+            part.failed = true;
+            ++m_failedParts;
+        }
+        return;
+    }
+}
+
+void CallRun::retry(CallEnvironment& environment, std::size_t index, Instant now)
+{
+    CallPart& part = m_parts[index];
+    if (!part.outstanding.empty())
+        return;
+    bool mayRun = m_route.repeatable || !part.mayHaveRun;
+    if (!mayRun || !mayRepeat(part)) {
+        part.failed = true;
+        ++m_failedParts;
+        return;
+    }
+    trySend(environment, index, part.arrivals > 0, now);
+}
+
+void CallRun::replied(CallEnvironment& environment, std::size_t index, SendId send, TargetReply reply, Instant now)
+{
+    CallPart& part = m_parts[index];
+    std::erase(part.outstanding, send);
+    if (m_finished || part.done || part.failed)
+        return;
+    if (reply.end == TargetReply::End::NotSent) {
+        --part.arrivals;
+        retry(environment, index, now);
+    } else if (reply.end == TargetReply::End::Lost) {
+        part.mayHaveRun = true;
+        part.reply = std::move(reply);
+        retry(environment, index, now);
+    } else if (reply.notRun) {
+        part.refused = true;
+        part.reply = std::move(reply);
+        retry(environment, index, now);
+    } else if (success(reply.status)) {
+        part.done = true;
+        part.reply = std::move(reply);
+        ++m_doneParts;
+        for (SendId other : part.outstanding)
+            environment.release(other, now);
+        part.outstanding.clear();
+    } else {
+        part.mayHaveRun = true;
+        part.reply = std::move(reply);
+        retry(environment, index, now);
+    }
+    settle(environment, now);
+}
+
+void CallRun::resume(CallEnvironment& environment, std::size_t index, Instant now)
+{
+    if (m_finished || !m_parts[index].waiting)
+        return;
+    trySend(environment, index, m_parts[index].arrivals > 0, now);
+    settle(environment, now);
+}
+
+bool CallRun::mayHedge(const CallPart& part) const
+{
+    return m_route.repeatable && !part.done && !part.failed && part.outstanding.size() == 1 && mayRepeat(part);
+}
+
+void CallRun::hedge(CallEnvironment& environment, Instant now)
+{
+    Duration late = environment.lateAfter();
+    for (std::size_t i = 0; i < m_parts.size(); ++i) {
+        CallPart& part = m_parts[i];
+        if (!mayHedge(part) || now < part.sentAt + late)
+            continue;
+        Instant firstSentAt = part.sentAt;
+        trySend(environment, i, true, now);
+        // Without a target or credit the part goes on waiting; it is looked at again after another such time.
+        if (part.sentAt == firstSentAt)
+            part.sentAt = now;
+    }
+}
+
+void CallRun::timer(CallEnvironment& environment, Instant now)
+{
+    if (m_finished)
+        return;
+    if (now >= m_deadline - answerMargin) {
+        m_timedOut = true;
+        finish(environment, now);
+        return;
+    }
+    for (CallPart& part : m_parts) {
+        if (part.waiting && now >= m_startedAt + std::chrono::duration_cast<Duration>(m_route.objective * mostWaiting)) {
+            part.waiting = false;
+            part.failed = true;
+            ++m_failedParts;
+        }
+    }
+    hedge(environment, now);
+    settle(environment, now);
+}
+
+void CallRun::expire(CallEnvironment& environment, Instant now)
+{
+    if (!m_finished) {
+        m_timedOut = true;
+        finish(environment, now);
+    }
+}
+
+bool CallRun::enough(std::size_t parts) const
+{
+    return parts > 0 && Fraction(static_cast<double>(parts) / static_cast<double>(m_parts.size())).reaches(m_route.minCoverage);
+}
+
+Instant CallRun::answerBy() const
+{
+    return m_request->arrivedAt + m_route.objective - objectiveMargin;
+}
+
+void CallRun::settle(CallEnvironment& environment, Instant now)
+{
+    if (m_finished)
+        return;
+    std::size_t left = m_parts.size() - m_failedParts;
+    bool ended = m_doneParts + m_failedParts == m_parts.size();
+    if (!m_route.fansOut()) {
+        if (ended)
+            finish(environment, now);
+        return;
+    }
+    if (ended || !enough(left) || (enough(m_doneParts) && now >= answerBy()))
+        finish(environment, now);
+}
+
+Instant CallRun::nextWake(const CallEnvironment& environment) const
+{
+    Instant wake = m_deadline - answerMargin;
+    Duration late = environment.lateAfter();
+    for (const CallPart& part : m_parts) {
+        if (mayHedge(part))
+            wake = std::min(wake, part.sentAt + late);
+        if (part.waiting)
+            wake = std::min(wake, m_startedAt + std::chrono::duration_cast<Duration>(m_route.objective * mostWaiting));
+    }
+    if (m_route.fansOut() && enough(m_doneParts))
+        wake = std::min(wake, answerBy());
+    return wake;
+}
+
+void CallRun::finish(CallEnvironment& environment, Instant now)
+{
+    m_finished = true;
+    for (CallPart& part : m_parts) {
+        for (SendId send : part.outstanding) {
+            part.mayHaveRun = true;
+            environment.release(send, now);
+        }
+        part.outstanding.clear();
+        part.waiting = false;
+    }
+    if (m_route.fansOut())
+        answerFanOut();
+    else
+        answerSingle();
+}
+
+void CallRun::answerSingle()
+{
+    CallPart& part = m_parts.front();
+    bool targetAnswered = part.reply.end == TargetReply::End::Answered && !part.reply.notRun && part.reply.status;
+    if (part.done || (targetAnswered && !m_timedOut)) {
+        m_answer.status = part.reply.status;
+        m_answer.headers = std::move(part.reply.headers);
+        m_answer.body = std::move(part.reply.body);
+        m_answer.reason = part.done ? "answered" : "the target failed";
+        return;
+    }
+    answerFailure(m_timedOut ? "no answer before the deadline" : "no target answered");
+}
+
+void CallRun::answerFanOut()
+{
+    if (!enough(m_doneParts)) {
+        answerFailure(m_timedOut ? "too few shards before the deadline" : "too few shards can answer");
+        return;
+    }
+    std::vector<std::string_view> bodies;
+    for (const CallPart& part : m_parts) {
+        if (!part.done)
+            continue;
+        bodies.push_back(part.reply.body);
+        m_answer.partStamps += (m_answer.partStamps.empty() ? "" : ", ") + part.reply.stamp;
+    }
+    m_answer.status = 200;
+    m_answer.fannedOut = true;
+    m_answer.missingParts = static_cast<unsigned>(m_parts.size() - m_doneParts);
+    m_answer.body = topRecords(bodies, m_route.topRecords);
+    m_answer.reason = m_answer.missingParts ? "answered in part" : "answered";
+}
+
+void CallRun::answerFailure(const char* reason)
+{
+    bool mayHaveRun = std::any_of(m_parts.begin(), m_parts.end(), [](const CallPart& part) { return part.done || part.mayHaveRun; });
+    m_answer.reason = reason;
+    if (!mayHaveRun) {
+        m_answer.status = noTargetStatus;
+        m_answer.retryAfter = roomAfter;
+    } else {
+        m_answer.status = m_timedOut ? lateStatus : brokenStatus;
+    }
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "RoutingTable.h"
+#include "TargetPool.h"
+#include "TargetReply.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pimentopoint {
+
+/// What a CallRun needs of its surroundings.
+struct CallEnvironment {
+    virtual ~CallEnvironment() = default;
+    /// \brief Sends the call to a target of \a shard that is not in its list of tried ones.
+    /// \param extra whether the send draws on the budget of repeats
+    /// \returns nothing if it was sent
+    enum class Obstacle : std::uint8_t {
+        None,
+        Busy, ///< Every target has all connections at work.
+        Absent, ///< No target may be sent to.
+        NoBudget, ///< Repeats have used up what is allowed.
+    };
+    virtual Obstacle send(std::size_t shard, bool extra, Instant now) = 0;
+    /// No answer of \a send is needed any more.
+    virtual void release(SendId send, Instant now) = 0;
+    /// \returns how long a send of this call may take before it counts as late
+    virtual Duration lateAfter() const = 0;
+};
+
+/// A part of a call: one shard of a fan-out, or all of a call that one target serves.
+struct CallPart {
+    ServiceName service;
+    std::vector<TargetName> tried;
+    std::vector<SendId> outstanding;
+    unsigned arrivals = 0; ///< Targets that were sent to, but for those that certainly got nothing.
+    bool waiting = false; ///< For a connection.
+    bool done = false;
+    bool failed = false;
+    bool mayHaveRun = false;
+    bool refused = false; ///< Some target refused it.
+    Instant sentAt {}; ///< Of the latest send.
+    TargetReply reply;
+};
+
+/// \class CallRun
+/// \ingroup Serve
+/// \brief One caller's request from its first send to its answer.
+/// \details Pins one routing table. A call is repeated at another target if it certainly did not run, or if its route allows
+/// repeats; within the route's attempts and the budget. A fan-out is answered when all shards are in; at the objective, if enough
+/// are in; at once, if enough can no longer come. Events in, calls to the environment out; reads no clock.
+class CallRun {
+public:
+    CallRun(std::shared_ptr<const CallerRequest> request, RoutingTablePointer routing, const RoutePolicy& route, std::vector<ServiceName> services, Instant now);
+
+    void begin(CallEnvironment& environment, Instant now);
+    void replied(CallEnvironment& environment, std::size_t part, SendId send, TargetReply reply, Instant now);
+    /// A connection to a target of part \a part is free.
+    void resume(CallEnvironment& environment, std::size_t part, Instant now);
+    void timer(CallEnvironment& environment, Instant now);
+    /// The process stops: answers what can be answered now.
+    void expire(CallEnvironment& environment, Instant now);
+
+    bool finished() const { return m_finished; }
+    CallerAnswer takeAnswer() { return std::move(m_answer); }
+    Instant nextWake(const CallEnvironment& environment) const;
+    Instant deadline() const { return m_deadline; }
+    const CallerRequest& request() const { return *m_request; }
+    const std::shared_ptr<const CallerRequest>& requestPointer() const { return m_request; }
+    const RoutePolicy& route() const { return m_route; }
+    const RoutingTable& routing() const { return *m_routing; }
+    CallPart& part(std::size_t index) { return m_parts[index]; }
+    const std::vector<CallPart>& parts() const { return m_parts; }
+    unsigned extraSends() const { return m_extraSends; }
+
+private:
+    void trySend(CallEnvironment& environment, std::size_t part, bool extra, Instant now);
+    void retry(CallEnvironment& environment, std::size_t part, Instant now);
+    void hedge(CallEnvironment& environment, Instant now);
+    bool mayHedge(const CallPart& part) const;
+    bool mayRepeat(const CallPart& part) const { return part.arrivals < m_route.maxAttempts; }
+    bool enough(std::size_t parts) const;
+    void settle(CallEnvironment& environment, Instant now);
+    void finish(CallEnvironment& environment, Instant now);
+    void answerSingle();
+    void answerFanOut();
+    void answerFailure(const char* reason);
+    Instant answerBy() const;
+
+    std::shared_ptr<const CallerRequest> m_request;
+    RoutingTablePointer m_routing;
+    RoutePolicy m_route; ///< A copy of the small part; the table stays pinned for its version.
+    std::vector<CallPart> m_parts;
+    Instant m_startedAt;
+    Instant m_deadline;
+    std::size_t m_doneParts = 0;
+    std::size_t m_failedParts = 0;
+    unsigned m_extraSends = 0;
+    bool m_timedOut = false;
+    bool m_finished = false;
+    CallerAnswer m_answer;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Serve/HostSettings.cpp
@@ -0,0 +1,60 @@
+#include "HostSettings.h"
+
+#include "../Operator/DocumentReader.h"
+#include "../Operator/InvalidDocument.h"
+#include "../Operator/StructureGuard.h"
+
+namespace pimentopoint {
+
+HostSettings HostSettings::read(const std::string& text, const std::string& source)
+{
+    constexpr std::uint64_t leastDescriptors = 64;
+    constexpr std::uint64_t mostDescriptors = 1 << 20;
+    constexpr Duration shortest = std::chrono::milliseconds(100);
+    constexpr Duration longest = std::chrono::minutes(10);
+    constexpr double mostSlack = 1e6;
+    Problems problems = internal::checkStructure(text);
+    if (!problems.empty())
+        throw InvalidDocument(source, problems);
+    internal::DocumentReader root(YAML::Load(text), "", problems);
+    root.allowKeys({ "name", "dataCentre", "listen", "members", "platform", "descriptors", "times", "repeats", "logLevel" });
+    HostSettings settings;
+    settings.name = MemberName(root.text("name"));
+    settings.dataCentre = DataCentreName(root.text("dataCentre"));
+    root.section("listen", [&](internal::DocumentReader& listen) {
+        listen.allowKeys({ "callers", "readiness", "members" });
+        settings.callers = listen.endpoint("callers");
+        settings.readiness = listen.endpoint("readiness");
+        settings.members = listen.endpoint("members");
+    });
+    root.eachScalar("members", [&](const std::string& value, int line, const std::string& path) {
+        auto endpoint = Endpoint::parse(value);
+        if (endpoint)
+            settings.seeds.push_back(*endpoint);
+        else
+            problems.emplace_back(line, path, value, "an IPv4 number and a port, as in 127.0.0.1:8100");
+    });
+    settings.platform = root.endpoint("platform");
+    settings.descriptors = root.number("descriptors", leastDescriptors, mostDescriptors, settings.descriptors);
+    if (root.has("times")) {
+        root.section("times", [&](internal::DocumentReader& times) {
+            times.allowKeys({ "stop", "news", "leaving" });
+            settings.stopTime = times.duration("stop", shortest, longest, settings.stopTime);
+            settings.newsTime = times.duration("news", shortest, longest, settings.newsTime);
+            settings.leavingTime = times.duration("leaving", shortest, longest, settings.leavingTime);
+        });
+    }
+    if (root.has("repeats")) {
+        root.section("repeats", [&](internal::DocumentReader& repeats) {
+            repeats.allowKeys({ "ratio", "slack" });
+            settings.repeatRatio = repeats.real("ratio", 0, 1, settings.repeatRatio);
+            settings.repeatSlack = repeats.real("slack", 0, mostSlack, settings.repeatSlack);
+        });
+    }
+    settings.logLevel = static_cast<int>(root.choice("logLevel", { "info", "warning", "error" }, 0));
+    if (!problems.empty())
+        throw InvalidDocument(source, problems);
+    return settings;
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Serve/HostSettings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "../Core/Clock.h"
+#include "../Core/Endpoint.h"
+#include "../Core/Ids.h"
+
+#include <string>
+#include <vector>
+
+namespace pimentopoint {
+
+/// What one pimentopoint-edge process is told of itself, checked as a whole.
+struct HostSettings {
+    MemberName name;
+    DataCentreName dataCentre;
+    Endpoint callers; ///< Where callers connect.
+    Endpoint readiness; ///< Where a balancer asks whether callers may connect, and where metrics are read.
+    Endpoint members; ///< UDP, between hosts.
+    std::vector<Endpoint> seeds; ///< Hosts to ask first.
+    Endpoint platform; ///< The platform's store.
+    std::size_t descriptors = 1024; ///< Most sockets and files.
+    Duration stopTime = std::chrono::seconds(6); ///< From the signal to stop to the end.
+    Duration newsTime = std::chrono::seconds(4); ///< In which news must be known after trouble with the store.
+    Duration leavingTime = std::chrono::seconds(3); ///< For which a leaving target still answers.
+    double repeatRatio = 0.2; ///< Most repeats of a service, all hosts together, as a part of its requests.
+    double repeatSlack = 0; ///< Repeats beyond the ratio.
+    int logLevel = 0; ///< Least severity that is logged: 0 info, 1 warning, 2 error.
+
+    /// \throws InvalidDocument with every problem in \a text
+    static HostSettings read(const std::string& text, const std::string& source);
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -0,0 +1,266 @@
+#include "TargetPool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimentopoint {
+
+namespace {
+
+    /// Weight of the latest reply in what is learnt of a target; three replies show a target that became slow.
+    constexpr double learningRate = 0.3;
+    /// Part of a target's connections that hosts use; the rest covers connections that are being closed.
+    constexpr double usableConnections = 0.85;
+    /// Scores above any that load and slowness give, so that such targets are used last.
+    constexpr double stalledPenalty = 1e3;
+    constexpr double avoidedPenalty = 1e4;
+    constexpr double leavingPenalty = 1e5;
+    /// Preference for the home data centre, as a part of the time expected: bytes between data centres cost.
+    constexpr double awayPenalty = 0.15;
+    constexpr double troubleWeight = 8;
+    /// Spread of scores, so that hosts with equal knowledge choose differently.
+    constexpr double jitter = 0.05;
+    /// Parts of the tolerated rate and burst of a cold target that all hosts use together.
+    constexpr double coldRateUse = 1.0;
+    constexpr double mostSlowness = 50;
+
+} // namespace
+
+TargetPool::TargetPool(DataCentreName home, TargetPoolTiming timing, std::uint64_t seed, Observer observer)
+    : m_home(std::move(home))
+    , m_timing(timing)
+    , m_random(seed)
+    , m_observer(std::move(observer))
+{
+}
+
+void TargetPool::put(const DiscoveredTarget& target, Instant now)
+{
+    auto [at, fresh] = m_targets.try_emplace(target.name);
+    State& state = at->second;
+    bool restarted = !fresh && (state.target.endpoint != target.endpoint || state.target.startedAt != target.startedAt || state.target.service != target.service);
+    if (restarted) {
+        m_observer(target.name, "target-restarted", target.endpoint.text());
+        std::erase(m_byService[state.target.service], target.name);
+        state = State();
+    }
+    if (fresh || restarted) {
+        m_byService[target.service].push_back(target.name);
+        state.learntAt = now;
+        if (fresh)
+            m_observer(target.name, "target-found", target.endpoint.text());
+    }
+    if (target.draining && !state.leavingSince) {
+        state.leavingSince = now;
+        m_observer(target.name, "target-leaving", "it reports that it drains");
+    } else if (!target.draining && state.leavingSince) {
+        state.leavingSince.reset();
+        m_observer(target.name, "target-back", "it is listed as ready again");
+    }
+    state.target = target;
+    state.coldUntil = std::max(state.coldUntil, now + target.coldFor);
+}
+
+void TargetPool::remove(const TargetName& name, Instant now)
+{
+    auto found = m_targets.find(name);
+    if (found == m_targets.end() || found->second.leavingSince)
+        return;
+    found->second.leavingSince = now;
+    m_observer(name, "target-leaving", "its entry is gone");
+}
+
+void TargetPool::retain(const std::set<TargetName>& names, Instant now)
+{
+    for (auto& [name, state] : m_targets) {
+        if (!names.contains(name))
+            remove(name, now);
+    }
+}
+
+bool TargetPool::stalled(const State& state, Instant now)
+{
+    return std::any_of(state.outstanding.begin(), state.outstanding.end(), [now](const Outstanding& o) { return now - o.sentAt > o.late; });
+}
+
+void TargetPool::fade(State& state, Instant now) const
+{
+    double kept = std::exp(-std::chrono::duration<double>(now - state.learntAt) / std::chrono::duration<double>(m_timing.memory));
+    state.slowness = 1 + (state.slowness - 1) * kept;
+    state.trouble *= kept;
+    state.learntAt = now;
+}
+
+std::size_t TargetPool::connectionLimit(const State& state) const
+{
+    const ServicePolicy* policy = m_routing ? m_routing->service(state.target.service) : nullptr;
+    if (!policy || !policy->maxConnections)
+        return 1;
+    return std::max<std::size_t>(1, static_cast<std::size_t>(policy->maxConnections * usableConnections) / m_hosts);
+}
+
+bool TargetPool::coldAllows(State& state, Instant now) const
+{
+    const ServicePolicy* policy = m_routing ? m_routing->service(state.target.service) : nullptr;
+    if (!policy || policy->coldRequestsPerSecond <= 0 || now >= state.coldUntil)
+        return true;
+    double rate = policy->coldRequestsPerSecond * coldRateUse / static_cast<double>(m_hosts);
+    if (state.coldCreditAt == Instant())
+        state.coldCredit = 0;
+    else
+        state.coldCredit = std::min(1.0, state.coldCredit + rate * std::chrono::duration<double>(now - state.coldCreditAt).count());
+    state.coldCreditAt = now;
+    return state.coldCredit >= 1;
+}
+
+bool TargetPool::mayLead(const State& state, Instant now) const
+{
+    if (m_excluded.contains(state.target.dataCentre))
+        return false;
+    return !state.leavingSince || now - *state.leavingSince < m_timing.leavingUse;
+}
+
+double TargetPool::score(State& state, Instant now)
+{
+    fade(state, now);
+    double load = static_cast<double>(state.outstanding.size()) / state.target.slots;
+    double value = state.slowness * (1 + load) * (1 + troubleWeight * state.trouble);
+    value += state.target.dataCentre == m_home ? 0 : awayPenalty;
+    value *= 1 + jitter * m_random.fraction();
+    if (stalled(state, now))
+        value += stalledPenalty;
+    if (now < state.avoidUntil)
+        value += avoidedPenalty;
+    if (state.leavingSince)
+        value += leavingPenalty;
+    return value;
+}
+
+std::optional<TargetPool::Choice> TargetPool::choose(const ServiceName& service, const std::vector<TargetName>& tried, Instant now, Shortage& shortage)
+{
+    shortage = Shortage::Absent;
+    auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return std::nullopt;
+    State* best = nullptr;
+    double bestScore = 0;
+    for (const TargetName& name : found->second) {
+        State& state = m_targets.at(name);
+        if (!mayLead(state, now) || std::find(tried.begin(), tried.end(), name) != tried.end())
+            continue;
+        if (state.outstanding.size() >= connectionLimit(state) || !coldAllows(state, now)) {
+            shortage = Shortage::Busy;
+            continue;
+        }
+        double value = score(state, now);
+        if (!best || value < bestScore) {
+            best = &state;
+            bestScore = value;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    shortage = Shortage::None;
+    return Choice { best->target.name, best->target.endpoint, bestScore < stalledPenalty };
+}
+
+void TargetPool::sent(const TargetName& name, SendId send, Duration expected, Duration late, Instant now)
+{
+    auto found = m_targets.find(name);
+    if (found == m_targets.end())
+        return;
+    found->second.outstanding.push_back({ send, now, expected, late });
+    if (now < found->second.coldUntil)
+        found->second.coldCredit -= 1;
+}
+
+std::optional<TargetPool::Outstanding> TargetPool::take(State& state, SendId send)
+{
+    auto at = std::find_if(state.outstanding.begin(), state.outstanding.end(), [send](const Outstanding& o) { return o.send == send; });
+    if (at == state.outstanding.end())
+        return std::nullopt;
+    Outstanding taken = *at;
+    state.outstanding.erase(at);
+    return taken;
+}
+
+void TargetPool::fail(State& state, Duration backoff, std::string_view why, Instant now)
+{
+    fade(state, now);
+    state.trouble += learningRate * (1 - state.trouble);
+    state.avoidUntil = std::max(state.avoidUntil, now + backoff);
+    if (++state.failures == 1)
+        m_observer(state.target.name, "target-doubted", why);
+}
+
+void TargetPool::ended(const TargetName& name, SendId send, const TargetReply& reply, Instant now)
+{
+    auto found = m_targets.find(name);
+    if (found == m_targets.end())
+        return;
+    State& state = found->second;
+    auto exchange = take(state, send);
+    if (!exchange)
+        return;
+    Duration backoff = std::min(m_timing.longestBackoff, m_timing.firstBackoff * (1U << std::min(state.failures, 5U)));
+    if (reply.otherTarget) {
+        m_observer(name, "target-replaced", "another target has its address");
+        if (!state.leavingSince)
+            state.leavingSince = now - m_timing.leavingUse;
+    } else if (reply.end != TargetReply::End::Answered) {
+        fail(state, backoff, reply.cause, now);
+    } else if (reply.notRun) {
+        fail(state, m_timing.shedBackoff, "it refused a request", now);
+    } else if (reply.status >= 500) {
+        fail(state, m_timing.shedBackoff, "it failed a request", now);
+    } else {
+        fade(state, now);
+        double taken = std::chrono::duration<double>(now - exchange->sentAt) / std::chrono::duration<double>(std::max(exchange->expected, Duration(1)));
+        state.slowness += learningRate * (std::min(taken, mostSlowness) - state.slowness);
+        state.trouble -= learningRate * state.trouble;
+        if (state.failures > 1)
+            m_observer(name, "target-trusted", "it answered");
+        state.failures = 0;
+        state.avoidUntil = now;
+    }
+}
+
+void TargetPool::abandoned(const TargetName& name, SendId send, bool silent, Instant now)
+{
+    auto found = m_targets.find(name);
+    if (found == m_targets.end() || !take(found->second, send) || !silent)
+        return;
+    State& state = found->second;
+    fail(state, std::min(m_timing.longestBackoff, m_timing.firstBackoff * (1U << std::min(state.failures, 5U))), "it did not answer", now);
+}
+
+bool TargetPool::doubtful(const TargetName& name, Instant now) const
+{
+    auto found = m_targets.find(name);
+    return found == m_targets.end() || stalled(found->second, now) || now < found->second.avoidUntil;
+}
+
+void TargetPool::forget(Instant now)
+{
+    std::erase_if(m_targets, [&](const auto& entry) {
+        const State& state = entry.second;
+        if (!state.leavingSince || !state.outstanding.empty() || now - *state.leavingSince < m_timing.leftMemory)
+            return false;
+        std::erase(m_byService[state.target.service], entry.first);
+        return true;
+    });
+}
+
+std::vector<TargetName> TargetPool::targetsOf(const ServiceName& service) const
+{
+    auto found = m_byService.find(service);
+    return found == m_byService.end() ? std::vector<TargetName>() : found->second;
+}
+
+const DiscoveredTarget* TargetPool::find(const TargetName& name) const
+{
+    auto found = m_targets.find(name);
+    return found == m_targets.end() ? nullptr : &found->second.target;
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "../Core/Random.h"
+#include "DiscoveredTarget.h"
+#include "RoutingTable.h"
+#include "TargetReply.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentopoint {
+
+/// Intervals after which beliefs about targets change.
+struct TargetPoolTiming {
+    Duration leavingUse = std::chrono::milliseconds(1500); ///< For which a leaving target serves where no other does; half of the time for which it still answers.
+    Duration firstBackoff = std::chrono::milliseconds(100); ///< After a first failure: the shortest pause of a target seen in the field.
+    Duration longestBackoff = std::chrono::seconds(2); ///< Longest time without a trial of a target that failed.
+    Duration shedBackoff = std::chrono::milliseconds(30); ///< After a refusal: a few service times.
+    Duration leftMemory = std::chrono::seconds(30); ///< For which a target that left is kept, so that its return is recognized.
+    Duration memory = std::chrono::seconds(2); ///< Time constant with which slowness and trouble are forgotten.
+};
+
+/// \class TargetPool
+/// \ingroup Serve
+/// \brief What this host believes of every target, and the choice of one for a send.
+/// \details Targets are judged by replies alone: how long they take against what is expected, what is outstanding there, how
+/// often they fail. One with a request outstanding for much longer than expected stands still and is avoided until it answers.
+class TargetPool {
+public:
+    /// Why choose() has no target.
+    enum class Shortage : std::uint8_t {
+        None,
+        Busy, ///< All connections that this host may use are at work.
+        Absent, ///< No target may be sent to.
+    };
+    struct Choice {
+        TargetName name;
+        Endpoint endpoint;
+        bool steady = true; ///< Whether nothing speaks against the target.
+    };
+    /// What the pool tells of changed beliefs: target, event, detail.
+    using Observer = std::function<void(const TargetName&, std::string_view, std::string_view)>;
+
+    TargetPool(DataCentreName home, TargetPoolTiming timing, std::uint64_t seed, Observer observer);
+
+    void put(const DiscoveredTarget& target, Instant now);
+    void remove(const TargetName& name, Instant now);
+    /// Forgets targets that are not in \a names, as after a new full reading.
+    void retain(const std::set<TargetName>& names, Instant now);
+    /// Sets the data centres whose targets get nothing.
+    void setExcluded(std::set<DataCentreName> excluded) { m_excluded = std::move(excluded); }
+    void setRouting(RoutingTablePointer routing) { m_routing = std::move(routing); }
+    /// Sets how many hosts share the connections of the targets.
+    void setHosts(std::size_t hosts) { m_hosts = hosts ? hosts : 1; }
+
+    /// \returns the best target of \a service that is not in \a tried, or nothing and the reason in \a shortage
+    std::optional<Choice> choose(const ServiceName& service, const std::vector<TargetName>& tried, Instant now, Shortage& shortage);
+    /// Notes a send that usually takes \a expected and is late after \a late.
+    void sent(const TargetName& name, SendId send, Duration expected, Duration late, Instant now);
+    void ended(const TargetName& name, SendId send, const TargetReply& reply, Instant now);
+    /// The send was given up; with \a silent, long after its answer was due.
+    void abandoned(const TargetName& name, SendId send, bool silent, Instant now);
+    /// \returns whether \a name stands still or failed of late
+    bool doubtful(const TargetName& name, Instant now) const;
+
+    /// Drops targets that left long ago.
+    void forget(Instant now);
+    std::size_t size() const { return m_targets.size(); }
+    /// \returns the names of all targets of \a service
+    std::vector<TargetName> targetsOf(const ServiceName& service) const;
+    const DiscoveredTarget* find(const TargetName& name) const;
+
+private:
+    struct Outstanding {
+        SendId send;
+        Instant sentAt;
+        Duration expected;
+        Duration late;
+    };
+    struct State {
+        DiscoveredTarget target;
+        std::optional<Instant> leavingSince;
+        Instant coldUntil {};
+        double coldCredit = 0;
+        Instant coldCreditAt {};
+        std::vector<Outstanding> outstanding;
+        double slowness = 1; ///< Time taken over time expected.
+        double trouble = 0; ///< Share of failures, 0 to 1.
+        Instant learntAt {};
+        unsigned failures = 0; ///< In a row.
+        Instant avoidUntil {};
+    };
+
+    static bool stalled(const State& state, Instant now);
+    void fade(State& state, Instant now) const;
+    void fail(State& state, Duration backoff, std::string_view why, Instant now);
+    std::size_t connectionLimit(const State& state) const;
+    bool coldAllows(State& state, Instant now) const;
+    bool mayLead(const State& state, Instant now) const;
+    double score(State& state, Instant now);
+    static std::optional<Outstanding> take(State& state, SendId send);
+
+    DataCentreName m_home;
+    TargetPoolTiming m_timing;
+    Random m_random;
+    Observer m_observer;
+    RoutingTablePointer m_routing;
+    std::set<DataCentreName> m_excluded;
+    std::size_t m_hosts = 1;
+    std::map<TargetName, State> m_targets;
+    std::unordered_map<ServiceName, std::vector<TargetName>> m_byService;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Serve/TargetReply.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "../Core/Clock.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pimentopoint {
+
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+/// How the exchange of one send ended.
+struct TargetReply {
+    enum class End : std::uint8_t {
+        Answered, ///< A whole answer to this request came.
+        NotSent, ///< Not a byte of the request left; it cannot have run.
+        Lost, ///< It was sent, and no whole answer came; it may have run.
+    };
+
+    End end = End::Lost;
+    unsigned status = 0;
+    bool notRun = false; ///< The target states that it did not run the request.
+    bool otherTarget = false; ///< Another target has the address now.
+    std::string stamp; ///< The target's signature of the answer; empty if it has none.
+    HeaderList headers; ///< Those for the caller.
+    std::string body;
+    const char* cause = ""; ///< Why there is no answer.
+};
+
+/// A caller's request, read whole.
+struct CallerRequest {
+    std::string id; ///< As the caller sent it; one for each attempt of the caller.
+    std::string method;
+    std::string target; ///< Path and query, unchanged.
+    std::string host;
+    HeaderList headers; ///< Those for the target.
+    std::string body;
+    Duration patience { 0 }; ///< How long the caller waits, from when the request was read.
+    Instant arrivedAt {};
+};
+
+/// What goes back to a caller.
+struct CallerAnswer {
+    unsigned status = 0;
+    HeaderList headers;
+    std::string body;
+    Duration retryAfter { 0 }; ///< When room is expected; 0: not stated.
+    std::string partStamps; ///< Of a fan-out: the signatures of the parts, separated by commas.
+    unsigned missingParts = 0; ///< Of a fan-out: shards left out.
+    bool fannedOut = false;
+    const char* reason = ""; ///< For the log.
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/daemons/Edge.cpp
@@ -0,0 +1,85 @@
+/// \file
+/// The edge: meets callers on the platform's machines and sends to targets itself.
+#include "EdgeHost.h"
+
+#include <Pimentopoint/Operator>
+#include <csignal>
+#include <docopt/docopt.h>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "Daemon.h"
+
+using namespace pimentopoint;
+
+namespace {
+
+constexpr const char* usage = R"(Meets callers on the platform's machines, sends to targets and merges their answers.
+
+Usage:
+  pimentopoint-edge [--settings FILE] [--check]
+  pimentopoint-edge (--help | --version)
+
+Options:
+  --settings FILE  The process's own settings (YAML); on the platform's machines, where the platform puts them.
+  --check          Check the settings and exit.
+  --help           Show this text.
+  --version        Show the version.
+
+Example:
+  pimentopoint-edge --settings edge-a1.yaml --check
+
+Exit codes: 0 stopped as asked, 1 failed, 2 wrong arguments, 3 invalid settings.
+)";
+
+int runEdge(const std::string& path, bool check)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << (path.empty() ? "no settings file is named" : path + ": cannot be read") << "\n";
+        return exitInvalid;
+    }
+    std::stringstream content;
+    content << file.rdbuf();
+    try {
+        HostSettings settings = HostSettings::read(content.str(), path);
+        if (check) {
+            std::cout << path << ": valid\n";
+            return exitOk;
+        }
+        Log::startNonBlocking("pimentopoint-edge", settings.name, settings.dataCentre, static_cast<Severity>(settings.logLevel));
+        EdgeHost(std::move(settings), path).run();
+        return exitOk;
+    } catch (const InvalidDocument& invalid) {
+        std::cerr << invalid.what() << "\n";
+        return exitInvalid;
+    } catch (const std::exception& failure) {
+        Log::event(Severity::Error, "start-failed", { { "cause", failure.what() } });
+        std::cerr << "pimentopoint-edge: " << failure.what() << "\n";
+        return exitFailed;
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::map<std::string, docopt::value> arguments;
+    try {
+        arguments = docopt::docopt_parse(usage, { argv + 1, argv + argc }, true, true);
+    } catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage;
+        return exitOk;
+    } catch (const docopt::DocoptExitVersion&) {
+        std::cout << "pimentopoint-edge " << PIMENTOPOINT_VERSION << "\n";
+        return exitOk;
+    } catch (const docopt::DocoptArgumentError& error) {
+        std::cerr << error.what() << "\n"
+                  << usage;
+        return exitUsage;
+    }
+    std::string path = arguments["--settings"] ? arguments["--settings"].asString() : platform::settingsPath();
+    return runEdge(path, arguments["--check"].asBool());
+}
--- /dev/null
+++ b/daemons/EdgeHost.cpp
@@ -0,0 +1,364 @@
+#include "EdgeHost.h"
+
+#include "Daemon.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+namespace pimentopoint {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr Duration tickInterval = std::chrono::milliseconds(100);
+    constexpr Duration second = std::chrono::seconds(1);
+    /// Lines about single calls in a second; failures of a bad second are alike, and a line costs processor time.
+    constexpr unsigned mostCallLines = 40;
+    /// For which new connections still come after readiness is gone: a balancer asks once a second and acts on the second miss.
+    constexpr Duration balancerTime = std::chrono::milliseconds(2500);
+    /// Before the end of the time to stop: left for writing last answers.
+    constexpr Duration lastAnswers = std::chrono::milliseconds(700);
+    constexpr Duration exitMargin = std::chrono::milliseconds(350);
+    /// Sockets and files beside callers' connections: targets, platform, members, log.
+    constexpr std::size_t ownDescriptors = 600;
+    /// Part of the slack of repeats that one start of a host may use: a fleet of twenty may restart twice within a window.
+    constexpr double slackShare = 1.0 / 40;
+    /// Part of the ratio of repeats that hosts use; the rest covers windows in which requests fall.
+    constexpr double ratioUse = 0.85;
+    constexpr unsigned readinessThreads = 2;
+    constexpr std::size_t readinessBodyBytes = 1024;
+    constexpr unsigned unavailable = 503;
+    /// Part of the time in which news must be known that a watch may wait; the rest covers its timeout.
+    constexpr double watchUse = 0.7;
+
+    CallLimits limitsFrom(const HostSettings& settings)
+    {
+        CallLimits limits;
+        limits.extraShare = Fraction(settings.repeatRatio * ratioUse);
+        limits.firstExtras = settings.repeatSlack * slackShare;
+        return limits;
+    }
+
+    TargetPoolTiming poolTiming(const HostSettings& settings)
+    {
+        TargetPoolTiming timing;
+        timing.leavingUse = settings.leavingTime / 2;
+        return timing;
+    }
+
+    StoreTiming storeTiming(const HostSettings& settings)
+    {
+        StoreTiming timing;
+        timing.watchWait = Duration(static_cast<Duration::rep>(static_cast<double>(settings.newsTime.count()) * watchUse));
+        return timing;
+    }
+
+    MemberRecord selfRecord(const HostSettings& settings)
+    {
+        MemberRecord record(settings.name, MemberRole::Front, settings.dataCentre, newIncarnation());
+        record.setEndpoints(settings.members, settings.members, settings.callers);
+        return record;
+    }
+
+    std::uint64_t seedOf(const HostSettings& settings, std::string_view use)
+    {
+        return hashOf(settings.name.value() + "/" + std::string(use)) ^ newIncarnation().value();
+    }
+
+} // namespace
+
+EdgeHost::EdgeHost(HostSettings settings, std::string settingsPath)
+    : m_settings(std::move(settings))
+    , m_settingsPath(std::move(settingsPath))
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    , m_tickTimer(m_context)
+    , m_callTimer(m_context)
+    , m_pool(m_settings.dataCentre, poolTiming(m_settings), seedOf(m_settings, "targets"),
+          [](const TargetName& target, std::string_view event, std::string_view detail) { Log::event(Severity::Info, event, { { "target", target }, { "cause", detail } }); })
+    , m_engine(m_pool, m_metrics, limitsFrom(m_settings), [this](const CallRecord& each) { record(each); })
+    , m_targets(m_context, m_clock, platform::headerDialect(), m_metrics,
+          [this](SendId send, TargetReply reply) {
+              CallActions actions;
+              m_engine.ended(send, std::move(reply), m_clock.now(), actions);
+              perform(actions);
+          })
+    , m_callers(m_context, m_clock, platform::headerDialect(), m_settings.callers, m_settings.descriptors - std::min(m_settings.descriptors / 2, ownDescriptors),
+          { [this](CallId call, std::shared_ptr<const CallerRequest> request) {
+               CallActions actions;
+               m_engine.begin(call, std::move(request), m_clock.now(), actions);
+               perform(actions);
+           },
+              [this](CallId call) {
+                  CallActions actions;
+                  m_engine.callerLeft(call, m_clock.now(), actions);
+                  perform(actions);
+              },
+              [this] { return m_engine.routing() ? m_engine.routing()->limits() : CallerLimits(); } })
+    , m_membership(selfRecord(m_settings), m_settings.seeds, MembershipTiming(), seedOf(m_settings, "members"))
+    , m_members(m_context, m_clock, m_settings.members, m_membership, [this] { countHosts(); })
+{
+    for (const std::string& prefix : platform::followedPrefixes()) {
+        m_followings.push_back(std::make_unique<Following>(
+            Following { StoreFollower(prefix, storeTiming(m_settings), seedOf(m_settings, prefix)), std::make_shared<HttpReader>(m_context, m_settings.platform), false, prefix }));
+    }
+    m_readiness = std::make_unique<HttpServer>(m_settings.readiness, readinessThreads, readinessBodyBytes, [this](const HttpRequest& request) -> HttpResponse {
+        if (request.path == platform::headerDialect().readinessPath)
+            return m_ready ? HttpResponse { 200, "{\"state\":\"ready\"}" } : HttpResponse { unavailable, "{\"state\":\"not-ready\"}" };
+        if (request.path == "/metrics")
+            return { 200, m_metrics.text(), "text/plain; version=0.0.4" };
+        constexpr unsigned notFound = 404;
+        return { notFound, "{\"detail\":\"no such path\"}" };
+    });
+}
+
+void EdgeHost::run()
+{
+    Log::event(Severity::Info, "started", { { "callers", m_settings.callers.text() }, { "platform", m_settings.platform.text() } });
+    reloadSettings("start");
+    awaitSignals();
+    tick();
+    m_context.run();
+    m_readiness->stop();
+    Log::event(Severity::Info, "stopped");
+    Log::flush();
+}
+
+void EdgeHost::awaitSignals()
+{
+    m_signals.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            reloadSettings("SIGHUP");
+        else
+            beginStop();
+        awaitSignals();
+    });
+}
+
+void EdgeHost::beginStop()
+{
+    if (m_stopSince)
+        return;
+    m_stopSince = m_clock.now();
+    m_ready = false;
+    m_callers.beginDrain();
+    m_members.leave();
+    Log::event(Severity::Info, "stopping", { { "connections", std::uint64_t(m_callers.connections()) }, { "calls", std::uint64_t(m_engine.calls()) } });
+}
+
+void EdgeHost::reloadSettings(const char* cause)
+{
+    std::ifstream file(m_settingsPath);
+    std::stringstream content;
+    content << file.rdbuf();
+    if (!file || content.str() == m_settingsText)
+        return;
+    bool first = m_settingsText.empty();
+    m_settingsText = content.str();
+    if (first)
+        return;
+    try {
+        HostSettings settings = HostSettings::read(m_settingsText, m_settingsPath);
+        m_settings.stopTime = settings.stopTime;
+        Log::event(Severity::Info, "settings-reloaded", { { "cause", cause }, { "effect", "the time to stop; other changes apply at the next start" } });
+    } catch (const Failure& invalid) {
+        Log::event(Severity::Warning, "settings-refused", { { "cause", invalid.what() } });
+    }
+}
+
+bool EdgeHost::known() const
+{
+    return m_engine.routing() && std::all_of(m_followings.begin(), m_followings.end(), [](const auto& each) { return each->follower.complete(); });
+}
+
+void EdgeHost::tick()
+{
+    Instant now = m_clock.now();
+    for (auto& following : m_followings)
+        follow(*following);
+    if (now >= m_nextSecond) {
+        m_nextSecond = now + second;
+        m_linesLeft = mostCallLines;
+        if (m_linesDropped) {
+            Log::event(Severity::Warning, "call-lines-left-out", { { "count", m_linesDropped }, { "cause", "more calls in a second than are logged" } });
+            m_linesDropped = 0;
+        }
+        m_callers.check(now);
+        m_targets.sweep(now);
+        m_pool.forget(now);
+        countHosts();
+        reloadSettings("the file changed");
+        Log::flush();
+        bool ready = known() && !m_stopSince;
+        if (ready != m_ready) {
+            m_ready = ready;
+            Log::event(Severity::Info, ready ? "ready" : "not-ready", { { "targets", std::uint64_t(m_pool.size()) } });
+        }
+    } else if (!m_ready && known() && !m_stopSince) {
+        m_ready = true;
+        Log::event(Severity::Info, "ready", { { "targets", std::uint64_t(m_pool.size()) }, { "version", m_engine.routing()->version() } });
+    }
+    m_members.tick();
+    if (m_stopSince) {
+        Duration since = now - *m_stopSince;
+        if (since > balancerTime)
+            m_callers.closeIdle();
+        bool quiet = since > balancerTime && !m_callers.connections();
+        if (since > m_settings.stopTime - lastAnswers) {
+            CallActions actions;
+            m_engine.expireAll(now, actions);
+            perform(actions);
+        }
+        if (quiet || since > m_settings.stopTime - exitMargin) {
+            m_stopped = true;
+            m_context.stop();
+            return;
+        }
+    }
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            tick();
+    });
+}
+
+void EdgeHost::armTimer()
+{
+    auto wake = m_engine.nextWake();
+    if (!wake || (m_callWake && *m_callWake <= *wake))
+        return;
+    m_callWake = wake;
+    m_callTimer.expires_after(std::max(Duration(0), *wake - m_clock.now()));
+    m_callTimer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        m_callWake.reset();
+        CallActions actions;
+        m_engine.tick(m_clock.now(), actions);
+        perform(actions);
+    });
+}
+
+void EdgeHost::perform(CallActions& actions)
+{
+    for (const auto& send : actions.sends)
+        m_targets.send(send);
+    for (SendId send : actions.aborts)
+        m_targets.abort(send);
+    for (auto& answer : actions.answers)
+        m_callers.answer(answer.call, answer.answer);
+    armTimer();
+}
+
+void EdgeHost::follow(Following& following)
+{
+    auto read = following.follower.begin(m_clock.now());
+    if (!read)
+        return;
+    m_metrics.add("pimentopoint_store_reads_total", "");
+    following.reader->get(platform::storePath(*read), read->timeout, [this, &following, read = *read](const HttpReader::Result& answer) { storeAnswered(following, read, answer); });
+}
+
+void EdgeHost::storeAnswered(Following& following, const StoreRead& read, const HttpReader::Result& answer)
+{
+    StoreResult result;
+    if (answer.status)
+        result = platform::storeResult(read, answer.status, answer.body);
+    else
+        result.cause = answer.cause;
+    bool failed = result.kind == StoreResult::Kind::Failed;
+    if (failed != following.lost) {
+        following.lost = failed;
+        Log::event(failed ? Severity::Warning : Severity::Info, failed ? "platform-lost" : "platform-regained",
+            { { "prefix", following.prefix }, { "cause", failed ? result.cause : "a read was answered" }, { "revision", following.follower.revision() } });
+    }
+    StoreNews news = following.follower.finish(std::move(result), m_clock.now());
+    for (const StoreItem& item : news.changes)
+        apply(item);
+    if (news.allKeys)
+        retain(following.prefix, *news.allKeys);
+    follow(following);
+}
+
+void EdgeHost::apply(const StoreItem& item)
+{
+    try {
+        platform::Change change = platform::decode(item);
+        Instant now = m_clock.now();
+        if (auto* routing = std::get_if<RoutingTable::Parts>(&change)) {
+            takeRouting(std::move(*routing));
+        } else if (auto* target = std::get_if<DiscoveredTarget>(&change)) {
+            m_pool.put(*target, now);
+        } else if (auto* gone = std::get_if<platform::TargetGone>(&change)) {
+            m_pool.remove(gone->name, now);
+        } else if (auto* evacuation = std::get_if<platform::Evacuation>(&change)) {
+            if (evacuation->begins)
+                m_excluded.insert(evacuation->dataCentre);
+            else
+                m_excluded.erase(evacuation->dataCentre);
+            m_pool.setExcluded(m_excluded);
+            Log::event(Severity::Info, evacuation->begins ? "evacuation-begins" : "evacuation-ends", { { "evacuated", evacuation->dataCentre }, { "revision", item.revision } });
+        }
+    } catch (const platform::MalformedDocument& malformed) {
+        Log::event(Severity::Warning, "entry-refused", { { "key", item.key }, { "cause", malformed.what() }, { "revision", item.revision } });
+        if (auto name = platform::targetOfKey(item.key))
+            m_pool.remove(*name, m_clock.now());
+    }
+}
+
+void EdgeHost::takeRouting(RoutingTable::Parts parts)
+{
+    const auto& held = m_engine.routing();
+    if (held && parts.version <= held->version())
+        return;
+    Log::event(Severity::Info, "routes-in-force", { { "version", parts.version }, { "routes", std::uint64_t(parts.routes.size()) } });
+    m_engine.setRouting(std::make_shared<const RoutingTable>(std::move(parts)));
+}
+
+void EdgeHost::retain(const std::string& prefix, const std::set<std::string>& keys)
+{
+    std::set<TargetName> targets;
+    std::set<DataCentreName> excluded;
+    for (const std::string& key : keys) {
+        if (auto name = platform::targetOfKey(key))
+            targets.insert(*name);
+        if (auto dataCentre = platform::evacuatedByKey(key))
+            excluded.insert(*dataCentre);
+    }
+    if (prefix == platform::followedPrefixes().front()) {
+        m_excluded = excluded;
+        m_pool.setExcluded(m_excluded);
+    } else {
+        m_pool.retain(targets, m_clock.now());
+    }
+}
+
+void EdgeHost::countHosts()
+{
+    m_pool.setHosts(m_membership.usableCount() + 1);
+    m_metrics.setGauge("pimentopoint_hosts", "", m_membership.usableCount() + 1);
+}
+
+void EdgeHost::record(const CallRecord& record)
+{
+    constexpr unsigned firstFailure = 400;
+    bool plain = record.status && record.status < firstFailure && !record.missingParts && !record.extraSends;
+    m_metrics.add("pimentopoint_calls_total", plain ? "kind=\"plain\"" : "kind=\"other\"");
+    if (plain)
+        return;
+    if (!m_linesLeft) {
+        ++m_linesDropped;
+        return;
+    }
+    --m_linesLeft;
+    Log::event(Severity::Info, "call",
+        { { "id", record.request.id }, { "route", record.route }, { "version", record.version }, { "status", std::uint64_t(record.status) }, { "cause", record.reason },
+            { "tookMicroseconds", static_cast<std::uint64_t>(record.taken.count()) }, { "missingParts", std::uint64_t(record.missingParts) },
+            { "extraSends", std::uint64_t(record.extraSends) }, { "lastTarget", record.lastTarget } });
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/daemons/EdgeHost.h
@@ -0,0 +1,85 @@
+/// \file
+/// A host of the system: meets callers, sends to targets, follows the platform's store. One thread.
+#pragma once
+
+#include "../platform/Dialect.h"
+#include "../platform/Documents.h"
+#include "../platform/StoreFormat.h"
+
+#include <Pimentopoint/Core>
+#include <Pimentopoint/Net>
+#include <Pimentopoint/Serve>
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pimentopoint {
+
+/// \class EdgeHost
+/// \brief Wires the decisions of Serve to the sockets of Net and to the platform's documents.
+class EdgeHost {
+public:
+    /// \param settingsPath the file that \a settings were read from; read again when it changes
+    EdgeHost(HostSettings settings, std::string settingsPath);
+
+    /// Serves until SIGTERM or SIGINT and what follows it.
+    void run();
+
+private:
+    /// One prefix of the store and the connection over which it is followed.
+    struct Following {
+        StoreFollower follower;
+        std::shared_ptr<HttpReader> reader;
+        bool lost = false; ///< Whether the loss of the store was logged.
+        std::string prefix;
+    };
+
+    void awaitSignals();
+    void beginStop();
+    void reloadSettings(const char* cause);
+    void tick();
+    void armTimer();
+    void perform(CallActions& actions);
+    void follow(Following& following);
+    void storeAnswered(Following& following, const StoreRead& read, const HttpReader::Result& answer);
+    void apply(const StoreItem& item);
+    void takeRouting(RoutingTable::Parts parts);
+    void retain(const std::string& prefix, const std::set<std::string>& keys);
+    void countHosts();
+    void record(const CallRecord& record);
+    bool known() const;
+
+    HostSettings m_settings;
+    std::string m_settingsPath;
+    std::string m_settingsText;
+    BootClock m_clock;
+    Metrics m_metrics;
+    boost::asio::io_context m_context { 1 };
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_callTimer;
+    std::optional<Instant> m_callWake;
+    TargetPool m_pool;
+    CallEngine m_engine;
+    TargetLinks m_targets;
+    CallerServer m_callers;
+    Membership m_membership;
+    MemberSocket m_members;
+    std::vector<std::unique_ptr<Following>> m_followings;
+    std::set<DataCentreName> m_excluded;
+    std::atomic<bool> m_ready { false };
+    std::unique_ptr<HttpServer> m_readiness;
+    std::optional<Instant> m_stopSince;
+    bool m_stopped = false;
+    Instant m_nextSecond {};
+    unsigned m_linesLeft = 0; ///< Lines about calls that may be logged in this second.
+    std::uint64_t m_linesDropped = 0;
+};
+
+} // namespace pimentopoint
