--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -16,7 +16,7 @@
     constexpr double avoidedPenalty = 1e4;
     constexpr double leavingPenalty = 1e5;
     /// Preference for the home data centre, as a part of the time expected: bytes between data centres cost.
-    constexpr double awayPenalty = 1.0;
+    constexpr double awayPenalty = 2.5;
     constexpr double troubleWeight = 8;
     /// Spread of scores, so that hosts with equal knowledge choose differently.
     constexpr double jitter = 0.05;
