Read the store's news through one host of a data centre

Ruled out: longer watches (a lost answer must be noticed within contact_ms). Change: one watch for everything (the empty prefix); NewsSource, StoreMirror and NewsFeed: the first host of a data centre by rank follows the store, the others that host by the same reads; who loses its source reads the store, then any host.

--- a/Pimentopoint/src/Net/CallerLink.cpp
+++ b/Pimentopoint/src/Net/CallerLink.cpp
@@ -152,18 +152,19 @@
 {
     const auto& message = m_parser->get();
     auto request = std::make_shared<CallerRequest>();
-    request->id = text(message[m_dialect.requestId]);
+    request->id = m_dialect.requestId.empty() ? std::string() : text(message[m_dialect.requestId]);
     request->method = text(message.method_string());
     request->target = text(message.target());
     request->host = text(message[http::field::host]);
-    request->patience = patienceOf(text(message[m_dialect.deadline]));
+    request->patience = m_dialect.deadline.empty() ? defaultPatience : patienceOf(text(message[m_dialect.deadline]));
     request->arrivedAt = m_clock.now();
     request->headers = endToEndHeaders(message, { m_dialect.deadline, m_dialect.targetName });
     m_keepAlive = message.keep_alive();
     m_headRequest = request->method == "HEAD";
     request->body = std::move(m_parser->get().body());
     m_parser.reset();
-    if (request->id.empty() || request->target.empty() || request->target.front() != '/') {
+    bool named = m_dialect.requestId.empty() || !request->id.empty();
+    if (!named || request->target.empty() || request->target.front() != '/') {
         reject(badRequest, "the request has no id or no path");
         return;
     }
--- /dev/null
+++ b/Pimentopoint/src/Net/NewsFeed.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "../Core/Metrics.h"
+#include "../Serve/NewsSource.h"
+#include "../Serve/StoreMirror.h"
+#include "CallerServer.h"
+#include "HttpReader.h"
+
+#include <map>
+
+namespace pimentopoint {
+
+/// \class NewsFeed
+/// \ingroup Net
+/// \brief Follows the platform's store, directly or through another host, and lets other hosts follow this one.
+class NewsFeed {
+public:
+    struct Hooks {
+        std::function<std::string(const StoreRead&)> storePath; ///< How the platform's store is asked.
+        std::function<StoreResult(const StoreRead&, unsigned status, const std::string& body)> storeResult;
+        std::function<void(const StoreNews&)> news;
+    };
+    struct Options {
+        Endpoint store;
+        Endpoint listen; ///< For other hosts.
+        Duration newsTime { 0 }; ///< In which news must be known after trouble with the store.
+        std::uint64_t seed = 0;
+    };
+
+    /// \throws ListenFailure
+    NewsFeed(boost::asio::io_context& context, const Clock& clock, Metrics& metrics, MemberRecord self, Options options, Hooks hooks);
+
+    void setMembers(std::vector<MemberRecord> members) { m_source.setMembers(std::move(members)); }
+    /// Begins the reads that are due and answers other hosts whose wait is over.
+    void tick();
+    /// \returns whether everything was read once
+    bool complete() const { return m_follower.complete(); }
+
+private:
+    struct Waiting {
+        StoreRead read;
+        Instant until;
+    };
+
+    void follow();
+    void answered(const NewsSource::Choice& choice, const StoreRead& read, const HttpReader::Result& answer);
+    void request(CallId call, const CallerRequest& request);
+    void reply(CallId call, const StoreRead& read);
+    void refuse(CallId call, const char* cause);
+    void replyToWaiting(Instant now);
+    /// \returns whether what is known here came from the store itself a moment ago
+    bool fresh(Instant now) const;
+    HttpReader& reader(const NewsSource::Choice& choice);
+
+    boost::asio::io_context& m_context;
+    const Clock& m_clock;
+    Metrics& m_metrics;
+    Options m_options;
+    Hooks m_hooks;
+    HeaderDialect m_dialect; ///< Hosts need no headers of their own.
+    StoreFollower m_follower;
+    NewsSource m_source;
+    StoreMirror m_mirror;
+    std::map<Endpoint, std::shared_ptr<HttpReader>> m_readers;
+    std::optional<Instant> m_storeAnsweredAt;
+    bool m_lost = false;
+    Instant m_nextForget {};
+    std::map<CallId, Waiting> m_waiting;
+    CallerServer m_server;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Serve/StoreMirror.cpp
@@ -0,0 +1,65 @@
+#include "StoreMirror.h"
+
+#include <algorithm>
+
+namespace pimentopoint {
+
+namespace {
+
+    /// For which removals are remembered: a reader that was away for longer reads everything.
+    constexpr Duration removalMemory = std::chrono::seconds(60);
+
+} // namespace
+
+void StoreMirror::take(const StoreNews& news, std::uint64_t asOf, Instant now)
+{
+    for (const StoreItem& item : news.changes) {
+        Entry& entry = m_entries[item.key];
+        if (item.revision >= entry.revision)
+            entry = { item.value, item.revision, item.removed, now };
+    }
+    if (news.allKeys) {
+        for (auto& [key, entry] : m_entries) {
+            if (!entry.removed && !news.allKeys->contains(key) && entry.revision <= asOf)
+                entry = { {}, asOf, true, now };
+        }
+        if (!m_knownSince)
+            m_knownSince = asOf;
+    }
+    m_revision = std::max(m_revision, asOf);
+}
+
+StoreResult StoreMirror::answer(const StoreRead& read) const
+{
+    StoreResult result;
+    result.asOf = m_revision;
+    bool page = read.kind == StoreRead::Kind::Page;
+    if (!m_knownSince) {
+        result.cause = "nothing was read yet";
+        return result;
+    }
+    if (!page && read.afterRevision < *m_knownSince) {
+        result.kind = StoreResult::Kind::HistoryLost;
+        return result;
+    }
+    result.kind = page ? StoreResult::Kind::Items : StoreResult::Kind::Changes;
+    for (const auto& [key, entry] : m_entries) {
+        bool wanted = page ? !entry.removed : entry.revision > read.afterRevision;
+        if (wanted && key.starts_with(read.prefix))
+            result.items.push_back({ key, entry.value, entry.revision, entry.removed });
+    }
+    return result;
+}
+
+void StoreMirror::forget(Instant now)
+{
+    std::erase_if(m_entries, [&](const auto& each) {
+        const Entry& entry = each.second;
+        if (!entry.removed || now - entry.since < removalMemory)
+            return false;
+        m_knownSince = std::max(m_knownSince.value_or(0), entry.revision);
+        return true;
+    });
+}
+
+} // namespace pimentopoint
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -31,9 +31,6 @@
     constexpr unsigned readinessThreads = 2;
     constexpr std::size_t readinessBodyBytes = 1024;
     constexpr unsigned unavailable = 503;
-    /// Part of the time in which news must be known that a watch may wait; the rest covers its timeout.
-    constexpr double watchUse = 0.7;
-
     CallLimits limitsFrom(const HostSettings& settings)
     {
         CallLimits limits;
@@ -49,13 +46,6 @@
         return timing;
     }
 
-    StoreTiming storeTiming(const HostSettings& settings)
-    {
-        StoreTiming timing;
-        timing.watchWait = Duration(static_cast<Duration::rep>(static_cast<double>(settings.newsTime.count()) * watchUse));
-        return timing;
-    }
-
     MemberRecord selfRecord(const HostSettings& settings)
     {
         MemberRecord record(settings.name, MemberRole::Front, settings.dataCentre, newIncarnation());
@@ -99,11 +89,9 @@
               [this] { return m_engine.routing() ? m_engine.routing()->limits() : CallerLimits(); } })
     , m_membership(selfRecord(m_settings), m_settings.seeds, MembershipTiming(), seedOf(m_settings, "members"))
     , m_members(m_context, m_clock, m_settings.members, m_membership, [this] { countHosts(); })
+    , m_feed(m_context, m_clock, m_metrics, m_membership.self(), { m_settings.platform, m_settings.members, m_settings.newsTime, seedOf(m_settings, "news") },
+          { platform::storePath, platform::storeResult, [this](const StoreNews& news) { takeNews(news); } })
 {
-    for (const std::string& prefix : platform::followedPrefixes()) {
-        m_followings.push_back(std::make_unique<Following>(
-            Following { StoreFollower(prefix, storeTiming(m_settings), seedOf(m_settings, prefix)), std::make_shared<HttpReader>(m_context, m_settings.platform), false, prefix }));
-    }
     m_readiness = std::make_unique<HttpServer>(m_settings.readiness, readinessThreads, readinessBodyBytes, [this](const HttpRequest& request) -> HttpResponse {
         if (request.path == platform::headerDialect().readinessPath)
             return m_ready ? HttpResponse { 200, "{\"state\":\"ready\"}" } : HttpResponse { unavailable, "{\"state\":\"not-ready\"}" };
@@ -172,14 +160,13 @@
 
 bool EdgeHost::known() const
 {
-    return m_engine.routing() && std::all_of(m_followings.begin(), m_followings.end(), [](const auto& each) { return each->follower.complete(); });
+    return m_engine.routing() && m_feed.complete();
 }
 
 void EdgeHost::tick()
 {
     Instant now = m_clock.now();
-    for (auto& following : m_followings)
-        follow(*following);
+    m_feed.tick();
     if (now >= m_nextSecond) {
         m_nextSecond = now + second;
         m_linesLeft = mostCallLines;
@@ -254,34 +241,12 @@
     armTimer();
 }
 
-void EdgeHost::follow(Following& following)
+void EdgeHost::takeNews(const StoreNews& news)
 {
-    auto read = following.follower.begin(m_clock.now());
-    if (!read)
-        return;
-    m_metrics.add("pimentopoint_store_reads_total", "");
-    following.reader->get(platform::storePath(*read), read->timeout, [this, &following, read = *read](const HttpReader::Result& answer) { storeAnswered(following, read, answer); });
-}
-
-void EdgeHost::storeAnswered(Following& following, const StoreRead& read, const HttpReader::Result& answer)
-{
-    StoreResult result;
-    if (answer.status)
-        result = platform::storeResult(read, answer.status, answer.body);
-    else
-        result.cause = answer.cause;
-    bool failed = result.kind == StoreResult::Kind::Failed;
-    if (failed != following.lost) {
-        following.lost = failed;
-        Log::event(failed ? Severity::Warning : Severity::Info, failed ? "platform-lost" : "platform-regained",
-            { { "prefix", following.prefix }, { "cause", failed ? result.cause : "a read was answered" }, { "revision", following.follower.revision() } });
-    }
-    StoreNews news = following.follower.finish(std::move(result), m_clock.now());
     for (const StoreItem& item : news.changes)
         apply(item);
     if (news.allKeys)
-        retain(following.prefix, *news.allKeys);
-    follow(following);
+        retain(*news.allKeys);
 }
 
 void EdgeHost::apply(const StoreItem& item)
@@ -319,7 +284,7 @@
     m_engine.setRouting(std::make_shared<const RoutingTable>(std::move(parts)));
 }
 
-void EdgeHost::retain(const std::string& prefix, const std::set<std::string>& keys)
+void EdgeHost::retain(const std::set<std::string>& keys)
 {
     std::set<TargetName> targets;
     std::set<DataCentreName> excluded;
@@ -329,16 +294,14 @@
         if (auto dataCentre = platform::evacuatedByKey(key))
             excluded.insert(*dataCentre);
     }
-    if (prefix == platform::followedPrefixes().front()) {
-        m_excluded = excluded;
-        m_pool.setExcluded(m_excluded);
-    } else {
-        m_pool.retain(targets, m_clock.now());
-    }
+    m_excluded = excluded;
+    m_pool.setExcluded(m_excluded);
+    m_pool.retain(targets, m_clock.now());
 }
 
 void EdgeHost::countHosts()
 {
+    m_feed.setMembers(m_membership.members());
     m_pool.setHosts(m_membership.usableCount() + 1);
     m_metrics.setGauge("pimentopoint_hosts", "", m_membership.usableCount() + 1);
 }
--- a/daemons/EdgeHost.h
+++ b/daemons/EdgeHost.h
@@ -32,25 +32,16 @@
     void run();
 
 private:
-    /// One prefix of the store and the connection over which it is followed.
-    struct Following {
-        StoreFollower follower;
-        std::shared_ptr<HttpReader> reader;
-        bool lost = false; ///< Whether the loss of the store was logged.
-        std::string prefix;
-    };
-
     void awaitSignals();
     void beginStop();
     void reloadSettings(const char* cause);
     void tick();
     void armTimer();
     void perform(CallActions& actions);
-    void follow(Following& following);
-    void storeAnswered(Following& following, const StoreRead& read, const HttpReader::Result& answer);
+    void takeNews(const StoreNews& news);
     void apply(const StoreItem& item);
     void takeRouting(RoutingTable::Parts parts);
-    void retain(const std::string& prefix, const std::set<std::string>& keys);
+    void retain(const std::set<std::string>& keys);
     void countHosts();
     void record(const CallRecord& record);
     bool known() const;
@@ -71,7 +62,7 @@
     CallerServer m_callers;
     Membership m_membership;
     MemberSocket m_members;
-    std::vector<std::unique_ptr<Following>> m_followings;
+    NewsFeed m_feed;
     std::set<DataCentreName> m_excluded;
     std::atomic<bool> m_ready { false };
     std::unique_ptr<HttpServer> m_readiness;
