--- a/Pimentopoint/src/Net/HttpReader.cpp
+++ b/Pimentopoint/src/Net/HttpReader.cpp
@@ -25,11 +25,17 @@
 {
 }
 
+void HttpReader::setHeaders(std::string lines, std::string host)
+{
+    m_headers = std::move(lines);
+    m_host = std::move(host);
+}
+
 void HttpReader::get(const std::string& target, Duration timeout, Done done)
 {
     ++m_turn;
     m_done = std::move(done);
-    m_request = "GET " + target + " HTTP/1.1\r\nHost: " + m_server.text() + "\r\n\r\n";
+    m_request = "GET " + target + " HTTP/1.1\r\nHost: " + (m_host.empty() ? m_server.text() : m_host) + "\r\n" + m_headers + "\r\n";
     m_in.clear();
     m_parser.emplace();
     m_parser->eager(true);
--- a/Pimentopoint/src/Net/HttpReader.h
+++ b/Pimentopoint/src/Net/HttpReader.h
@@ -28,6 +28,8 @@
 
     HttpReader(boost::asio::io_context& context, Endpoint server);
 
+    /// Sets further header lines, and the host that is asked for instead of the server's address.
+    void setHeaders(std::string lines, std::string host);
     /// Reads \a target; \a done is called once, within about \a timeout.
     void get(const std::string& target, Duration timeout, Done done);
     /// Ends the read in progress without calling back.
@@ -48,6 +50,8 @@
     std::optional<boost::asio::ip::tcp::socket> m_socket;
     boost::asio::steady_timer m_timer;
     std::uint64_t m_turn = 0; ///< Of reads, so that what an earlier one left behind is not taken for the present one.
+    std::string m_headers;
+    std::string m_host;
     std::string m_request;
     std::string m_chunk;
     std::string m_in;
