Do less work a sub-query: late time fixed a call, small writes at once, targets by pointer

Cause: each reply made every part's late time anew and armed a timer; headers of parts were copied to be dropped. Change: CallRun keeps its late time and says when its wake may be earlier; requests and answers are written without a queued operation; a write that fails before any byte left is no send. Kept for the shorter code; half of the core time is the kernel's.

--- a/Pimentopoint/src/Net/CallerLink.cpp
+++ b/Pimentopoint/src/Net/CallerLink.cpp
@@ -4,6 +4,7 @@
 #include "SocketOptions.h"
 
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <cstdio>
@@ -219,7 +220,16 @@
 {
     m_writing = true;
     m_activeAt = m_clock.now();
-    asio::async_write(m_socket, asio::buffer(m_out), [self = shared_from_this()](const boost::system::error_code& error, std::size_t) { self->written(error); });
+    // Nearly every answer fits the socket's buffer; completes in a later turn, so that answer() never reads the next request.
+    boost::system::error_code error;
+    std::size_t size = m_socket.write_some(asio::buffer(m_out), error);
+    if (error == asio::error::would_block)
+        error = {};
+    if (error || size == m_out.size()) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this(), error] { self->written(error); });
+        return;
+    }
+    asio::async_write(m_socket, asio::buffer(m_out) + size, [self = shared_from_this()](const boost::system::error_code& failed, std::size_t) { self->written(failed); });
 }
 
 void CallerLink::written(const boost::system::error_code& error)
--- a/Pimentopoint/src/Net/TargetLink.cpp
+++ b/Pimentopoint/src/Net/TargetLink.cpp
@@ -112,15 +112,30 @@
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
         appendHeader(m_out, "Content-Length", std::to_string(request.body.size()));
     m_out.append("\r\n").append(request.body);
+    // Nearly every request fits the socket's buffer.
+    boost::system::error_code error;
+    std::size_t size = m_socket.write_some(asio::buffer(m_out), error);
+    m_anySent = size > 0;
+    if (error && error != asio::error::would_block) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this(), id = m_send->send] { self->written(id, true); });
+        return;
+    }
+    m_written = size == m_out.size();
+    if (m_written)
+        return;
     m_anySent = true;
-    asio::async_write(m_socket, asio::buffer(m_out), [self = shared_from_this(), id = m_send->send](const boost::system::error_code& error, std::size_t) {
-        if (!self->m_send || self->m_send->send != id)
-            return;
-        if (error)
-            self->fail(TargetReply::End::Lost, "the connection broke while the request was sent");
-        else
-            self->m_written = true;
-    });
+    asio::async_write(m_socket, asio::buffer(m_out) + size,
+        [self = shared_from_this(), id = m_send->send](const boost::system::error_code& failed, std::size_t) { self->written(id, bool(failed)); });
+}
+
+void TargetLink::written(SendId id, bool failed)
+{
+    if (!m_send || m_send->send != id)
+        return;
+    if (failed)
+        fail(TargetReply::End::Lost, "the connection broke while the request was sent");
+    else
+        m_written = true;
 }
 
 void TargetLink::read()
@@ -236,7 +251,8 @@
         fail(TargetReply::End::Lost, "the answer's body is encoded");
         return;
     }
-    reply.headers = endToEndHeaders(message, {});
+    if (m_send->wantsHeaders)
+        reply.headers = endToEndHeaders(message, {});
     m_freshUntil = keptUntil();
     reply.body = std::move(m_parser->get().body());
     settle(std::move(reply), reusable);
--- a/Pimentopoint/src/Net/TargetLink.h
+++ b/Pimentopoint/src/Net/TargetLink.h
@@ -43,6 +43,7 @@
 
     void connect();
     void write();
+    void written(SendId id, bool failed);
     void read();
     void received(const boost::system::error_code& error);
     void parse(std::string_view bytes, bool ended);
--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -51,10 +51,10 @@
         if (extra && !m_engine.budget(part.service).spend())
             return Obstacle::NoBudget;
         SendId id(++m_engine.m_lastSend);
-        Duration late = m_engine.lateAfter(m_run.route());
+        Duration late = m_run.lateAfter();
         m_engine.m_sends.emplace(id, SendState { m_id, index, choice->name, part.service, m_run.route().name, now, late, extra });
         m_engine.m_pool.sent(choice->name, id, m_engine.expected(m_run.route()), late, now);
-        m_actions.sends.push_back({ id, choice->name, choice->endpoint, m_run.requestPointer(), m_run.deadline() });
+        m_actions.sends.push_back({ id, choice->name, choice->endpoint, m_run.requestPointer(), m_run.deadline(), !m_run.route().fansOut() });
         part.tried.push_back(choice->name);
         part.outstanding.push_back(id);
         ++part.arrivals;
@@ -73,8 +73,6 @@
         m_engine.m_timers.push({ found->second.releaseEnd, CallId(0), send });
     }
 
-    Duration lateAfter() const override { return m_engine.lateAfter(m_run.route()); }
-
 private:
     CallEngine& m_engine;
     CallId m_id;
@@ -153,7 +151,6 @@
     state.latencies.add(taken);
     auto micros = static_cast<double>(std::min(taken, 2 * send.late).count());
     state.mean = state.mean <= 0 ? micros : state.mean + meanRate * (micros - state.mean);
-    m_metrics.observe("pimentopoint_target_milliseconds", "", taken);
 }
 
 void CallEngine::refuse(CallId call, const CallerRequest& request, unsigned status, const char* reason, Duration retryAfter, Instant now, CallActions& actions)
@@ -164,7 +161,7 @@
     answer.retryAfter = retryAfter;
     actions.answers.push_back({ call, answer });
     m_metrics.add("pimentopoint_refusals_total", "");
-    m_recorder({ request, "", m_routing ? m_routing->version() : ConfigurationVersion(0), status, reason, now - request.arrivedAt, 0, 0, "" });
+    m_recorder({ request, "", m_routing ? m_routing->version() : ConfigurationVersion(0), status, reason, now - request.arrivedAt, 0, 0, "", Duration(0) });
 }
 
 void CallEngine::begin(CallId id, std::shared_ptr<const CallerRequest> request, Instant now, CallActions& actions)
@@ -186,7 +183,7 @@
         budget(service).earn(1, m_limits.extraShare);
     auto [at, fresh] = m_calls.try_emplace(id);
     Call& call = at->second;
-    call.run = std::make_unique<CallRun>(std::move(request), m_routing, *route, std::move(services), now);
+    call.run = std::make_unique<CallRun>(std::move(request), m_routing, *route, std::move(services), lateAfter(*route), now);
     Environment environment(*this, id, *call.run, actions);
     call.run->begin(environment, now);
     noteWaiting(id, *call.run);
@@ -206,9 +203,9 @@
 
 void CallEngine::reschedule(CallId id, Call& call)
 {
-    CallActions none;
-    Environment environment(*this, id, *call.run, none);
-    Instant wake = call.run->nextWake(environment);
+    if (!call.run->takeWakeChanged())
+        return;
+    Instant wake = call.run->nextWake();
     if (wake == call.wake)
         return;
     call.wake = wake;
@@ -226,7 +223,7 @@
         if (!part.done && !part.tried.empty())
             last = part.tried.back().value();
     }
-    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), answer.status, answer.reason, now - run.request().arrivedAt, answer.missingParts, run.extraSends(), last });
+    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), answer.status, answer.reason, now - run.request().arrivedAt, answer.missingParts, run.extraSends(), last, run.lateAfter() });
     actions.answers.push_back({ id, std::move(answer) });
     m_calls.erase(found);
 }
@@ -296,7 +293,7 @@
         for (SendId send : part.outstanding)
             environment.release(send, now);
     }
-    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), 0, "the caller closed its connection", now - run.request().arrivedAt, 0, run.extraSends(), "" });
+    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), 0, "the caller closed its connection", now - run.request().arrivedAt, 0, run.extraSends(), "", run.lateAfter() });
     m_metrics.add("pimentopoint_callers_left_total", "");
     m_calls.erase(found);
 }
@@ -321,6 +318,7 @@
         auto found = m_calls.find(timer.call);
         if (found == m_calls.end() || found->second.wake != timer.at)
             continue;
+        found->second.wake = Instant::max();
         Environment environment(*this, timer.call, *found->second.run, actions);
         found->second.run->timer(environment, now);
         if (found->second.run->finished())
--- a/Pimentopoint/src/Serve/CallEngine.h
+++ b/Pimentopoint/src/Serve/CallEngine.h
@@ -22,6 +22,7 @@
         Endpoint endpoint;
         std::shared_ptr<const CallerRequest> request;
         Instant deadline; ///< Until which the target may work.
+        bool wantsHeaders = true; ///< Whether the answer's headers are needed.
     };
     struct Answer {
         CallId call;
@@ -42,7 +43,8 @@
     Duration taken;
     unsigned missingParts;
     unsigned extraSends;
-    std::string lastTarget;
+    std::string lastTarget; ///< Of a part that is missing.
+    Duration lateAfter; ///< After which its sends counted as late.
 };
 
 /// Limits of a CallEngine.
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -26,12 +26,13 @@
 
 } // namespace
 
-CallRun::CallRun(std::shared_ptr<const CallerRequest> request, RoutingTablePointer routing, const RoutePolicy& route, std::vector<ServiceName> services, Instant now)
+CallRun::CallRun(std::shared_ptr<const CallerRequest> request, RoutingTablePointer routing, const RoutePolicy& route, std::vector<ServiceName> services, Duration late, Instant now)
     : m_request(std::move(request))
     , m_routing(std::move(routing))
-    , m_route(route)
+    , m_route(&route)
     , m_startedAt(now)
     , m_deadline(m_request->arrivedAt + std::min(m_request->patience, route.timeout))
+    , m_late(late)
 {
     m_parts.resize(services.size());
     for (std::size_t i = 0; i < services.size(); ++i)
@@ -49,6 +50,7 @@
 {
     CallPart& part = m_parts[index];
     part.waiting = false;
+    m_wakeChanged = true;
     switch (environment.send(index, extra, now)) {
     case CallEnvironment::Obstacle::None:
         part.sentAt = now;
@@ -72,7 +74,7 @@
     CallPart& part = m_parts[index];
     if (!part.outstanding.empty())
         return;
-    bool mayRun = m_route.repeatable || !part.mayHaveRun;
+    bool mayRun = m_route->repeatable || !part.mayHaveRun;
     if (!mayRun || !mayRepeat(part)) {
         part.failed = true;
         ++m_failedParts;
@@ -101,6 +103,7 @@
     } else if (success(reply.status)) {
         part.done = true;
         part.reply = std::move(reply);
+        m_wakeChanged = m_wakeChanged || enough(m_doneParts + 1) != enough(m_doneParts);
         ++m_doneParts;
         for (SendId other : part.outstanding)
             environment.release(other, now);
@@ -123,15 +126,14 @@
 
 bool CallRun::mayHedge(const CallPart& part) const
 {
-    return m_route.repeatable && !part.done && !part.failed && part.outstanding.size() == 1 && mayRepeat(part);
+    return m_route->repeatable && !part.done && !part.failed && part.outstanding.size() == 1 && mayRepeat(part);
 }
 
 void CallRun::hedge(CallEnvironment& environment, Instant now)
 {
-    Duration late = environment.lateAfter();
     for (std::size_t i = 0; i < m_parts.size(); ++i) {
         CallPart& part = m_parts[i];
-        if (!mayHedge(part) || now < part.sentAt + late)
+        if (!mayHedge(part) || now < part.sentAt + m_late)
             continue;
         Instant firstSentAt = part.sentAt;
         trySend(environment, i, true, now);
@@ -151,13 +153,14 @@
         return;
     }
     for (CallPart& part : m_parts) {
-        if (part.waiting && now >= m_startedAt + std::chrono::duration_cast<Duration>(m_route.objective * mostWaiting)) {
+        if (part.waiting && now >= m_startedAt + std::chrono::duration_cast<Duration>(m_route->objective * mostWaiting)) {
             part.waiting = false;
             part.failed = true;
             ++m_failedParts;
         }
     }
     hedge(environment, now);
+    m_wakeChanged = true;
     settle(environment, now);
 }
 
@@ -171,12 +174,12 @@
 
 bool CallRun::enough(std::size_t parts) const
 {
-    return parts > 0 && Fraction(static_cast<double>(parts) / static_cast<double>(m_parts.size())).reaches(m_route.minCoverage);
+    return parts > 0 && Fraction(static_cast<double>(parts) / static_cast<double>(m_parts.size())).reaches(m_route->minCoverage);
 }
 
 Instant CallRun::answerBy() const
 {
-    return m_request->arrivedAt + std::chrono::duration_cast<Duration>(m_route.objective * (1 - objectiveMarginPart)) - objectiveMargin;
+    return m_request->arrivedAt + std::chrono::duration_cast<Duration>(m_route->objective * (1 - objectiveMarginPart)) - objectiveMargin;
 }
 
 void CallRun::settle(CallEnvironment& environment, Instant now)
@@ -185,7 +188,7 @@
         return;
     std::size_t left = m_parts.size() - m_failedParts;
     bool ended = m_doneParts + m_failedParts == m_parts.size();
-    if (!m_route.fansOut()) {
+    if (!m_route->fansOut()) {
         if (ended)
             finish(environment, now);
         return;
@@ -194,17 +197,16 @@
         finish(environment, now);
 }
 
-Instant CallRun::nextWake(const CallEnvironment& environment) const
+Instant CallRun::nextWake() const
 {
     Instant wake = m_deadline - answerMargin;
-    Duration late = environment.lateAfter();
     for (const CallPart& part : m_parts) {
         if (mayHedge(part))
-            wake = std::min(wake, part.sentAt + late);
+            wake = std::min(wake, part.sentAt + m_late);
         if (part.waiting)
-            wake = std::min(wake, m_startedAt + std::chrono::duration_cast<Duration>(m_route.objective * mostWaiting));
+            wake = std::min(wake, m_startedAt + std::chrono::duration_cast<Duration>(m_route->objective * mostWaiting));
     }
-    if (m_route.fansOut() && enough(m_doneParts))
+    if (m_route->fansOut() && enough(m_doneParts))
         wake = std::min(wake, answerBy());
     return wake;
 }
@@ -220,7 +222,7 @@
         part.outstanding.clear();
         part.waiting = false;
     }
-    if (m_route.fansOut())
+    if (m_route->fansOut())
         answerFanOut();
     else
         answerSingle();
@@ -256,7 +258,7 @@
     m_answer.status = 200;
     m_answer.fannedOut = true;
     m_answer.missingParts = static_cast<unsigned>(m_parts.size() - m_doneParts);
-    m_answer.body = topRecords(bodies, m_route.topRecords);
+    m_answer.body = topRecords(bodies, m_route->topRecords);
     m_answer.reason = m_answer.missingParts ? "answered in part" : "answered";
 }
 
--- a/Pimentopoint/src/Serve/CallRun.h
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace pimentopoint {
@@ -25,8 +26,6 @@
     virtual Obstacle send(std::size_t shard, bool extra, Instant now) = 0;
     /// No answer of \a send is needed any more.
     virtual void release(SendId send, Instant now) = 0;
-    /// \returns how long a send of this call may take before it counts as late
-    virtual Duration lateAfter() const = 0;
 };
 
 /// A part of a call: one shard of a fan-out, or all of a call that one target serves.
@@ -52,7 +51,9 @@
 /// are in; at once, if enough can no longer come. Events in, calls to the environment out; reads no clock.
 class CallRun {
 public:
-    CallRun(std::shared_ptr<const CallerRequest> request, RoutingTablePointer routing, const RoutePolicy& route, std::vector<ServiceName> services, Instant now);
+    /// \param services what serves the parts
+    /// \param late how long a send of this call may take before it counts as late
+    CallRun(std::shared_ptr<const CallerRequest> request, RoutingTablePointer routing, const RoutePolicy& route, std::vector<ServiceName> services, Duration late, Instant now);
 
     void begin(CallEnvironment& environment, Instant now);
     void replied(CallEnvironment& environment, std::size_t part, SendId send, TargetReply reply, Instant now);
@@ -64,11 +65,14 @@
 
     bool finished() const { return m_finished; }
     CallerAnswer takeAnswer() { return std::move(m_answer); }
-    Instant nextWake(const CallEnvironment& environment) const;
+    Instant nextWake() const;
+    /// \returns whether nextWake() may be earlier than when this was asked last
+    bool takeWakeChanged() { return std::exchange(m_wakeChanged, false); }
+    Duration lateAfter() const { return m_late; }
     Instant deadline() const { return m_deadline; }
     const CallerRequest& request() const { return *m_request; }
     const std::shared_ptr<const CallerRequest>& requestPointer() const { return m_request; }
-    const RoutePolicy& route() const { return m_route; }
+    const RoutePolicy& route() const { return *m_route; }
     const RoutingTable& routing() const { return *m_routing; }
     CallPart& part(std::size_t index) { return m_parts[index]; }
     const std::vector<CallPart>& parts() const { return m_parts; }
@@ -79,7 +83,7 @@
     void retry(CallEnvironment& environment, std::size_t part, Instant now);
     void hedge(CallEnvironment& environment, Instant now);
     bool mayHedge(const CallPart& part) const;
-    bool mayRepeat(const CallPart& part) const { return part.arrivals < m_route.maxAttempts; }
+    bool mayRepeat(const CallPart& part) const { return part.arrivals < m_route->maxAttempts; }
     bool enough(std::size_t parts) const;
     void settle(CallEnvironment& environment, Instant now);
     void finish(CallEnvironment& environment, Instant now);
@@ -90,10 +94,12 @@
 
     std::shared_ptr<const CallerRequest> m_request;
     RoutingTablePointer m_routing;
-    RoutePolicy m_route; ///< A copy of the small part; the table stays pinned for its version.
+    const RoutePolicy* m_route; ///< In the pinned table.
     std::vector<CallPart> m_parts;
     Instant m_startedAt;
     Instant m_deadline;
+    Duration m_late;
+    bool m_wakeChanged = true;
     std::size_t m_doneParts = 0;
     std::size_t m_failedParts = 0;
     unsigned m_extraSends = 0;
--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -41,11 +41,13 @@
     bool restarted = !fresh && (state.target.endpoint != target.endpoint || state.target.startedAt != target.startedAt || state.target.service != target.service);
     if (restarted) {
         m_observer(target.name, "target-restarted", target.endpoint.text());
-        std::erase(m_byService[state.target.service], target.name);
+        drop(state);
         state = State();
     }
     if (fresh || restarted) {
-        m_byService[target.service].push_back(target.name);
+        Group& group = m_groups[target.service];
+        group.targets.push_back(&state);
+        applyPolicy(target.service, group);
         state.learntAt = now;
         if (fresh)
             m_observer(target.name, "target-found", target.endpoint.text());
@@ -85,26 +87,59 @@
 
 void TargetPool::fade(State& state, Instant now) const
 {
-    double kept = std::exp(-std::chrono::duration<double>(now - state.learntAt) / std::chrono::duration<double>(m_timing.memory));
+    double passed = std::chrono::duration<double>(now - state.learntAt) / std::chrono::duration<double>(m_timing.memory);
+    constexpr double little = 0.01;
+    if (passed < little)
+        return;
+    double kept = std::exp(-passed);
     state.slowness = 1 + (state.slowness - 1) * kept;
     state.trouble *= kept;
     state.learntAt = now;
 }
 
-std::size_t TargetPool::connectionLimit(const State& state) const
+void TargetPool::applyPolicy(const ServiceName& service, Group& group) const
+{
+    const ServicePolicy* policy = m_routing ? m_routing->service(service) : nullptr;
+    group.connectionLimit = policy ? std::max<std::size_t>(1, static_cast<std::size_t>(policy->maxConnections * usableConnections) / m_hosts) : 1;
+    group.coldRequestsPerSecond = policy ? policy->coldRequestsPerSecond : 0;
+}
+
+void TargetPool::applyPolicies()
+{
+    for (auto& [service, group] : m_groups)
+        applyPolicy(service, group);
+}
+
+void TargetPool::setRouting(RoutingTablePointer routing)
+{
+    m_routing = std::move(routing);
+    applyPolicies();
+}
+
+void TargetPool::setHosts(std::size_t hosts)
 {
-    const ServicePolicy* policy = m_routing ? m_routing->service(state.target.service) : nullptr;
-    if (!policy || !policy->maxConnections)
-        return 1;
-    return std::max<std::size_t>(1, static_cast<std::size_t>(policy->maxConnections * usableConnections) / m_hosts);
+    std::size_t shared = hosts ? hosts : 1;
+    if (shared == m_hosts)
+        return;
+    m_hosts = shared;
+    applyPolicies();
+}
+
+void TargetPool::drop(State& state)
+{
+    auto found = m_groups.find(state.target.service);
+    if (found == m_groups.end())
+        return;
+    std::erase(found->second.targets, &state);
+    if (found->second.targets.empty())
+        m_groups.erase(found);
 }
 
-bool TargetPool::coldAllows(State& state, Instant now) const
+bool TargetPool::coldAllows(const Group& group, State& state, Instant now) const
 {
-    const ServicePolicy* policy = m_routing ? m_routing->service(state.target.service) : nullptr;
-    if (!policy || policy->coldRequestsPerSecond <= 0 || now >= state.coldUntil)
+    if (group.coldRequestsPerSecond <= 0 || now >= state.coldUntil)
         return true;
-    double rate = policy->coldRequestsPerSecond * coldRateUse / static_cast<double>(m_hosts);
+    double rate = group.coldRequestsPerSecond * coldRateUse / static_cast<double>(m_hosts);
     if (state.coldCreditAt == Instant())
         state.coldCredit = 0;
     else
@@ -139,16 +174,17 @@
 std::optional<TargetPool::Choice> TargetPool::choose(const ServiceName& service, const std::vector<TargetName>& tried, Instant now, Shortage& shortage)
 {
     shortage = Shortage::Absent;
-    auto found = m_byService.find(service);
-    if (found == m_byService.end())
+    auto found = m_groups.find(service);
+    if (found == m_groups.end())
         return std::nullopt;
+    const Group& group = found->second;
     State* best = nullptr;
     double bestScore = 0;
-    for (const TargetName& name : found->second) {
-        State& state = m_targets.at(name);
-        if (!mayLead(state, now) || std::find(tried.begin(), tried.end(), name) != tried.end())
+    for (State* candidate : group.targets) {
+        State& state = *candidate;
+        if (!mayLead(state, now) || std::find(tried.begin(), tried.end(), state.target.name) != tried.end())
             continue;
-        if (state.outstanding.size() >= connectionLimit(state) || !coldAllows(state, now)) {
+        if (state.outstanding.size() >= group.connectionLimit || !coldAllows(group, state, now)) {
             shortage = Shortage::Busy;
             continue;
         }
@@ -242,19 +278,13 @@
 
 void TargetPool::forget(Instant now)
 {
-    std::erase_if(m_targets, [&](const auto& entry) {
-        const State& state = entry.second;
-        if (!state.leavingSince || !state.outstanding.empty() || now - *state.leavingSince < m_timing.leftMemory)
-            return false;
-        std::erase(m_byService[state.target.service], entry.first);
-        return true;
-    });
-}
-
-std::vector<TargetName> TargetPool::targetsOf(const ServiceName& service) const
-{
-    auto found = m_byService.find(service);
-    return found == m_byService.end() ? std::vector<TargetName>() : found->second;
+    for (auto each = m_targets.begin(); each != m_targets.end();) {
+        State& state = each->second;
+        bool old = state.leavingSince && state.outstanding.empty() && now - *state.leavingSince >= m_timing.leftMemory;
+        if (old)
+            drop(state);
+        each = old ? m_targets.erase(each) : std::next(each);
+    }
 }
 
 const DiscoveredTarget* TargetPool::find(const TargetName& name) const
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -53,9 +53,9 @@
     void retain(const std::set<TargetName>& names, Instant now);
     /// Sets the data centres whose targets get nothing.
     void setExcluded(std::set<DataCentreName> excluded) { m_excluded = std::move(excluded); }
-    void setRouting(RoutingTablePointer routing) { m_routing = std::move(routing); }
+    void setRouting(RoutingTablePointer routing);
     /// Sets how many hosts share the connections of the targets.
-    void setHosts(std::size_t hosts) { m_hosts = hosts ? hosts : 1; }
+    void setHosts(std::size_t hosts);
 
     /// \returns the best target of \a service that is not in \a tried, or nothing and the reason in \a shortage
     std::optional<Choice> choose(const ServiceName& service, const std::vector<TargetName>& tried, Instant now, Shortage& shortage);
@@ -70,8 +70,6 @@
     /// Drops targets that left long ago.
     void forget(Instant now);
     std::size_t size() const { return m_targets.size(); }
-    /// \returns the names of all targets of \a service
-    std::vector<TargetName> targetsOf(const ServiceName& service) const;
     const DiscoveredTarget* find(const TargetName& name) const;
 
 private:
@@ -95,11 +93,20 @@
         Instant avoidUntil {};
     };
 
+    /// The targets of a service and what its policy says of each.
+    struct Group {
+        std::vector<State*> targets;
+        std::size_t connectionLimit = 1; ///< Of one target, for this host.
+        double coldRequestsPerSecond = 0;
+    };
+
     static bool stalled(const State& state, Instant now);
     void fade(State& state, Instant now) const;
     void fail(State& state, Duration backoff, std::string_view why, Instant now);
-    std::size_t connectionLimit(const State& state) const;
-    bool coldAllows(State& state, Instant now) const;
+    void applyPolicy(const ServiceName& service, Group& group) const;
+    void applyPolicies();
+    void drop(State& state);
+    bool coldAllows(const Group& group, State& state, Instant now) const;
     bool mayLead(const State& state, Instant now) const;
     double score(State& state, Instant now);
     static std::optional<Outstanding> take(State& state, SendId send);
@@ -112,7 +119,7 @@
     std::set<DataCentreName> m_excluded;
     std::size_t m_hosts = 1;
     std::map<TargetName, State> m_targets;
-    std::unordered_map<ServiceName, std::vector<TargetName>> m_byService;
+    std::unordered_map<ServiceName, Group> m_groups;
 };
 
 } // namespace pimentopoint
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -321,7 +321,7 @@
     Log::event(Severity::Info, "call",
         { { "id", record.request.id }, { "route", record.route }, { "version", record.version }, { "status", std::uint64_t(record.status) }, { "cause", record.reason },
             { "tookMicroseconds", static_cast<std::uint64_t>(record.taken.count()) }, { "missingParts", std::uint64_t(record.missingParts) },
-            { "extraSends", std::uint64_t(record.extraSends) }, { "lastTarget", record.lastTarget } });
+            { "extraSends", std::uint64_t(record.extraSends) }, { "lastTarget", record.lastTarget }, { "lateAfterMicroseconds", static_cast<std::uint64_t>(record.lateAfter.count()) } });
 }
 
 } // namespace pimentopoint
