Let failures of targets weigh more, and remember them longer

Change: one failure counts 0.5 instead of 0.3, forgotten with 8 s instead of 2; slowness with 3 s, one reply counting 8 at most.

--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -24,7 +24,10 @@
     constexpr double jitter = 0.05;
     /// Parts of the tolerated rate and burst of a cold target that all hosts use together.
     constexpr double coldRateUse = 1.0;
-    constexpr double mostSlowness = 50;
+    /// Most that one reply counts for: a pause is many times the expected time and says nothing of the next reply.
+    constexpr double mostSlowness = 8;
+    /// Weight of one failure: a target that refuses half of its requests is known after two.
+    constexpr double troubleRate = 0.5;
 
 } // namespace
 
@@ -95,7 +98,7 @@
         return;
     double kept = std::exp(-passed);
     state.slowness = 1 + (state.slowness - 1) * kept;
-    state.trouble *= kept;
+    state.trouble *= std::exp(-std::chrono::duration<double>(now - state.learntAt) / std::chrono::duration<double>(m_timing.troubleMemory));
     state.learntAt = now;
 }
 
@@ -235,7 +238,7 @@
 void TargetPool::fail(State& state, Duration backoff, std::string_view why, Instant now)
 {
     fade(state, now);
-    state.trouble += learningRate * (1 - state.trouble);
+    state.trouble += troubleRate * (1 - state.trouble);
     state.avoidUntil = std::max(state.avoidUntil, now + backoff);
     if (++state.failures == 1)
         m_observer(state.target.name, "target-doubted", why);
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -21,7 +21,8 @@
     Duration longestBackoff = std::chrono::seconds(2); ///< Longest time without a trial of a target that failed.
     Duration shedBackoff = std::chrono::milliseconds(30); ///< After a refusal: a few service times.
     Duration leftMemory = std::chrono::seconds(30); ///< For which a target that left is kept, so that its return is recognized.
-    Duration memory = std::chrono::seconds(2); ///< Time constant with which slowness and trouble are forgotten.
+    Duration memory = std::chrono::seconds(3); ///< Time constant with which slowness is forgotten: a host of a large fleet sends to a target once a second.
+    Duration troubleMemory = std::chrono::seconds(8); ///< Time constant with which failures are forgotten; a target that fails on and off fails for seconds.
 };
 
 /// \class TargetPool
