--- a/Pimentopoint/src/Net/MemberSocket.h
+++ b/Pimentopoint/src/Net/MemberSocket.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "../Peer/Membership.h"
-#include "../Serve/TargetNotice.h"
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -14,18 +13,11 @@
 /// \brief Carries the datagrams of a Membership.
 class MemberSocket {
 public:
-    struct Hooks {
-        std::function<void()> changed; ///< Of some member's record.
-        std::function<void(const TargetNotice&)> notice; ///< Of another host.
-    };
-
     /// \throws ListenFailure
-    MemberSocket(boost::asio::io_context& context, const Clock& clock, const Endpoint& endpoint, Membership& membership, Hooks hooks);
+    MemberSocket(boost::asio::io_context& context, const Clock& clock, const Endpoint& endpoint, Membership& membership, std::function<void()> changed);
 
     void tick();
     void leave();
-    /// Tells the hosts of the own data centre, or a number of them in turn if they are many.
-    void tell(const std::vector<TargetNotice>& notices);
     void close();
 
 private:
@@ -35,10 +27,9 @@
     boost::asio::ip::udp::socket m_socket;
     const Clock& m_clock;
     Membership& m_membership;
-    Hooks m_hooks;
+    std::function<void()> m_changed;
     std::array<char, 2048> m_datagram {}; ///< Longer ones are none of ours.
     boost::asio::ip::udp::endpoint m_from;
-    std::size_t m_nextTold = 0;
 };
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -63,8 +63,6 @@
         return Obstacle::None;
     }
 
-    void late(const CallPart& part, Instant now) override { m_engine.m_pool.late(part.tried.back(), now); }
-
     void release(SendId send, Instant now) override
     {
         auto found = m_engine.m_sends.find(send);
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -135,7 +135,6 @@
         CallPart& part = m_parts[i];
         if (!mayHedge(part) || now < part.sentAt + m_late)
             continue;
-        environment.late(part, now);
         Instant firstSentAt = part.sentAt;
         trySend(environment, i, true, now);
         // Without a target or credit the part goes on waiting; it is looked at again after another such time.
--- a/Pimentopoint/src/Serve/CallRun.h
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -11,8 +11,6 @@
 
 namespace pimentopoint {
 
-struct CallPart;
-
 /// What a CallRun needs of its surroundings.
 struct CallEnvironment {
     virtual ~CallEnvironment() = default;
@@ -26,8 +24,6 @@
         NoBudget, ///< Repeats have used up what is allowed.
     };
     virtual Obstacle send(std::size_t shard, bool extra, Instant now) = 0;
-    /// The latest send of \a part is late.
-    virtual void late(const CallPart& part, Instant now) = 0;
     /// No answer of \a send is needed any more.
     virtual void release(SendId send, Instant now) = 0;
 };
--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -26,8 +26,6 @@
     constexpr double coldRateUse = 1.0;
     /// Most that one reply counts for: a pause is many times the expected time and says nothing of the next reply.
     constexpr double mostSlowness = 8;
-    /// Trouble of a target of which another host tells a failure: a little less than after one seen here.
-    constexpr double heardTrouble = 0.0;
     /// Weight of one failure: a target that refuses half of its requests is known after two.
     constexpr double troubleRate = 0.5;
 
@@ -54,7 +52,6 @@
     if (fresh || restarted) {
         Group& group = m_groups[target.service];
         group.targets.push_back(&state);
-        m_byId[targetIdOf(target.name)] = &state;
         applyPolicy(target.service, group);
         state.learntAt = now;
         if (fresh)
@@ -180,7 +177,7 @@
     if (state.connections <= state.outstanding.size())
         value += connectPenalty;
     value *= 1 + jitter * m_random.fraction();
-    if (now < state.heldUntil || stalled(state, now))
+    if (stalled(state, now))
         value += stalledPenalty;
     if (now < state.avoidUntil)
         value += avoidedPenalty;
@@ -243,11 +240,6 @@
     fade(state, now);
     state.trouble += troubleRate * (1 - state.trouble);
     state.avoidUntil = std::max(state.avoidUntil, now + backoff);
-    state.heldUntil = Instant();
-    if (now >= state.toldUntil) {
-        m_notices.push_back({ targetIdOf(state.target.name), TargetNotice::Kind::Failing });
-        state.toldUntil = now + m_timing.tellInterval;
-    }
     if (++state.failures == 1)
         m_observer(state.target.name, "target-doubted", why);
 }
@@ -281,7 +273,6 @@
             m_observer(name, "target-trusted", "it answered");
         state.failures = 0;
         state.avoidUntil = now;
-        state.heldUntil = now;
     }
 }
 
@@ -294,30 +285,10 @@
     fail(state, std::min(m_timing.longestBackoff, m_timing.firstBackoff * (1U << std::min(state.failures, 5U))), "it did not answer", now);
 }
 
-void TargetPool::late(const TargetName& name, Instant now)
+bool TargetPool::doubtful(const TargetName& name, Instant now) const
 {
     auto found = m_targets.find(name);
-    if (found == m_targets.end())
-        return;
-    State& state = found->second;
-    if (now >= state.heldUntil)
-        m_notices.push_back({ targetIdOf(name), TargetNotice::Kind::Late });
-    state.heldUntil = now + m_timing.hold;
-}
-
-void TargetPool::heard(const TargetNotice& notice, Instant now)
-{
-    auto found = m_byId.find(notice.target);
-    if (found == m_byId.end())
-        return;
-    State& state = *found->second;
-    if (notice.kind == TargetNotice::Kind::Late) {
-        state.heldUntil = std::max(state.heldUntil, now + m_timing.hold);
-        return;
-    }
-    fade(state, now);
-    state.trouble = std::max(state.trouble, heardTrouble);
-    state.toldUntil = now + m_timing.tellInterval;
+    return found == m_targets.end() || stalled(found->second, now) || now < found->second.avoidUntil;
 }
 
 void TargetPool::setConnections(const TargetName& name, std::size_t open)
@@ -352,8 +323,6 @@
 {
     for (auto each = m_targets.begin(); each != m_targets.end();) {
         State& state = each->second;
-        if (state.leavingSince && now - *state.leavingSince >= m_timing.leftMemory && state.outstanding.empty())
-            m_byId.erase(targetIdOf(each->first));
         bool old = state.leavingSince && state.outstanding.empty() && now - *state.leavingSince >= m_timing.leftMemory;
         if (old)
             drop(state);
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -3,7 +3,6 @@
 #include "../Core/Random.h"
 #include "DiscoveredTarget.h"
 #include "RoutingTable.h"
-#include "TargetNotice.h"
 #include "TargetReply.h"
 
 #include <functional>
@@ -11,7 +10,6 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace pimentopoint {
@@ -21,8 +19,6 @@
     Duration leavingUse = std::chrono::milliseconds(1500); ///< For which a leaving target serves where no other does; half of the time for which it still answers.
     Duration firstBackoff = std::chrono::milliseconds(100); ///< After a first failure: the shortest pause of a target seen in the field.
     Duration longestBackoff = std::chrono::seconds(2); ///< Longest time without a trial of a target that failed.
-    Duration hold = std::chrono::milliseconds(120); ///< For which a target that is late somewhere is avoided: about the shortest pause; longer ones are noticed anew.
-    Duration tellInterval = std::chrono::seconds(1); ///< Between two notices of failures of one target.
     Duration shedBackoff = std::chrono::milliseconds(30); ///< After a refusal: a few service times.
     Duration leftMemory = std::chrono::seconds(30); ///< For which a target that left is kept, so that its return is recognized.
     Duration memory = std::chrono::seconds(3); ///< Time constant with which slowness is forgotten: a host of a large fleet sends to a target once a second.
@@ -69,13 +65,8 @@
     void ended(const TargetName& name, SendId send, const TargetReply& reply, Instant now);
     /// The send was given up; with \a silent, long after its answer was due.
     void abandoned(const TargetName& name, SendId send, bool silent, Instant now);
-    /// A send to \a name has become late.
-    void late(const TargetName& name, Instant now);
-    /// Takes what another host of the data centre noticed.
-    void heard(const TargetNotice& notice, Instant now);
-    /// \returns what was noticed here since the last call and is worth telling
-    std::vector<TargetNotice> takeNotices() { return std::exchange(m_notices, {}); }
-    bool hasNotices() const { return !m_notices.empty(); }
+    /// \returns whether \a name stands still or failed of late
+    bool doubtful(const TargetName& name, Instant now) const;
 
     /// Notes that a connection to \a name was opened, or \a open connections are left.
     void setConnections(const TargetName& name, std::size_t open);
@@ -108,8 +99,6 @@
         Instant learntAt {};
         unsigned failures = 0; ///< In a row.
         Instant avoidUntil {};
-        Instant heldUntil {}; ///< Said or seen to stand still until then.
-        Instant toldUntil {}; ///< Failures until then were told already.
     };
 
     /// The targets of a service and what its policy says of each.
@@ -139,8 +128,6 @@
     RoutingTablePointer m_routing;
     std::set<DataCentreName> m_excluded;
     std::size_t m_hosts = 1;
-    std::unordered_map<TargetId, State*> m_byId;
-    std::vector<TargetNotice> m_notices;
     std::set<ServiceName> m_used; ///< Services that routes name.
     std::map<TargetName, State> m_targets;
     std::unordered_map<ServiceName, Group> m_groups;
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -91,7 +91,7 @@
               },
               [this] { return m_engine.routing() ? m_engine.routing()->limits() : CallerLimits(); } })
     , m_membership(selfRecord(m_settings), m_settings.seeds, MembershipTiming(), seedOf(m_settings, "members"))
-    , m_members(m_context, m_clock, m_settings.members, m_membership, { [this] { countHosts(); }, [this](const TargetNotice& notice) { m_pool.heard(notice, m_clock.now()); } })
+    , m_members(m_context, m_clock, m_settings.members, m_membership, [this] { countHosts(); })
     , m_feed(m_context, m_clock, m_metrics, m_membership.self(), { m_settings.platform, m_settings.members, m_settings.newsTime, seedOf(m_settings, "news") },
           { platform::storePath, platform::storeResult, [this](const StoreNews& news) { takeNews(news); } })
 {
@@ -245,8 +245,6 @@
         m_targets.abort(send);
     for (auto& answer : actions.answers)
         m_callers.answer(answer.call, answer.answer);
-    if (m_pool.hasNotices())
-        m_members.tell(m_pool.takeNotices());
     armTimer();
 }
 
