Ask the store again soon after a failure, and know news within the time that they must be in force

Ruled out: an older version taken after a newer one (versions in the log only rise); the relay alone (the host followed the store itself). Change: a failed store is left alone for 0.25 s, not 3; watches and their slack are parts of config_apply_ms, not contact_ms; retries after 0.5 s at most. Test: 'a store that failed once is asked again before every host was' (red with 3 s).

--- a/Pimentopoint/src/Net/NewsFeed.cpp
+++ b/Pimentopoint/src/Net/NewsFeed.cpp
@@ -9,11 +9,12 @@
 
     /// Parts of the time in which news must be known: a watch at the store, one at another host, and its answer. A host that
     /// falls silent costs its readers the latter two and one read of the store.
-    constexpr double storeWatchUse = 0.7;
+    constexpr double storeWatchUse = 0.45;
+    constexpr double storeSlackUse = 0.17;
     constexpr double hostWatchUse = 0.25;
     constexpr double hostSlackUse = 0.12;
-    /// Beyond a watch and its slack, after which what is known here may be old.
-    constexpr double freshUse = 1.0;
+    /// After which what is known here may be old: a watch, its slack and a way.
+    constexpr double freshUse = 0.75;
     constexpr std::size_t mostReaders = 512; ///< Hosts of a data centre at the largest size, several times over.
     constexpr Duration forgetInterval = std::chrono::seconds(5);
     constexpr unsigned unavailable = 503;
@@ -29,6 +30,7 @@
     {
         StoreTiming timing;
         timing.watchWait = scaled(newsTime, storeWatchUse);
+    timing.watchSlack = scaled(newsTime, storeSlackUse);
         return timing;
     }
 
--- a/Pimentopoint/src/Net/NewsFeed.h
+++ b/Pimentopoint/src/Net/NewsFeed.h
@@ -23,7 +23,7 @@
     struct Options {
         Endpoint store;
         Endpoint listen; ///< For other hosts.
-        Duration newsTime { 0 }; ///< In which news must be known after trouble with the store.
+        Duration newsTime { 0 }; ///< Within which news must be known.
         std::uint64_t seed = 0;
     };
 
--- a/Pimentopoint/src/Serve/HostSettings.h
+++ b/Pimentopoint/src/Serve/HostSettings.h
@@ -20,7 +20,7 @@
     Endpoint platform; ///< The platform's store.
     std::size_t descriptors = 1024; ///< Most sockets and files.
     Duration stopTime = std::chrono::seconds(6); ///< From the signal to stop to the end.
-    Duration newsTime = std::chrono::seconds(4); ///< In which news must be known after trouble with the store.
+    Duration newsTime = std::chrono::seconds(3); ///< Within which what the platform publishes must be in force here.
     Duration leavingTime = std::chrono::seconds(3); ///< For which a leaving target still answers.
     double repeatRatio = 0.2; ///< Most repeats of a service, all hosts together, as a part of its requests.
     double repeatSlack = 0; ///< Repeats beyond the ratio.
--- a/Pimentopoint/src/Serve/NewsSource.cpp
+++ b/Pimentopoint/src/Serve/NewsSource.cpp
@@ -10,8 +10,10 @@
 
     /// Hosts of a data centre that follow the store. One suffices: its silence is noticed within the time of a short watch.
     constexpr std::size_t followers = 1;
-    /// For which a source that failed is left alone while another serves: longer than a restart, shorter than an outage matters.
-    constexpr Duration avoidTime = std::chrono::seconds(3);
+    /// For which a host that failed as a source is left alone: longer than a restart.
+    constexpr Duration avoidHost = std::chrono::seconds(3);
+    /// For which the store is left alone: long enough to ask one host in between, short beside the time in which news must be known.
+    constexpr Duration avoidStore = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -55,7 +57,7 @@
 
 void NewsSource::failed(const Choice& choice, Instant now)
 {
-    m_avoidUntil[choice.host.value_or(Endpoint())] = now + avoidTime;
+    m_avoidUntil[choice.host.value_or(Endpoint())] = now + (choice.host ? avoidHost : avoidStore);
 }
 
 void NewsSource::succeeded(const Choice& choice)
--- a/Pimentopoint/src/Serve/StoreFollower.h
+++ b/Pimentopoint/src/Serve/StoreFollower.h
@@ -58,10 +58,10 @@
 struct StoreTiming {
     Duration watchWait = std::chrono::seconds(3); ///< Short of the time in which news must be known after a lost answer.
     Duration watchSlack = std::chrono::milliseconds(800); ///< Beyond the wait; a slow store's answer takes some hundred milliseconds.
-    Duration readTimeout = std::chrono::milliseconds(1500); ///< Of a page.
+    Duration readTimeout = std::chrono::milliseconds(1000); ///< Of a page; a slow store's answer takes some hundred milliseconds.
     Duration gatherTime = std::chrono::milliseconds(150); ///< Between two watches after news, so that a series of changes is one answer.
     Duration firstRetry = std::chrono::milliseconds(100); ///< Largest delay after a first failure.
-    Duration longestRetry = std::chrono::milliseconds(800); ///< Largest delay; a store that is back is read within a second.
+    Duration longestRetry = std::chrono::milliseconds(500); ///< Largest delay; a store that is back is read within a second.
 };
 
 /// \class StoreFollower
--- /dev/null
+++ b/test/NewsTest.cpp
@@ -0,0 +1,259 @@
+#include "Printing.h"
+
+#include <Pimentopoint/Core>
+#include <Pimentopoint/Serve>
+#include <catch2/catch.hpp>
+
+using namespace pimentopoint;
+
+namespace {
+
+Instant at(int milliseconds) { return Instant(std::chrono::milliseconds(milliseconds)); }
+
+MemberRecord member(const std::string& name, const std::string& dataCentre, std::uint16_t port)
+{
+    MemberRecord record(MemberName(name), MemberRole::Front, DataCentreName(dataCentre), Incarnation(1));
+    Endpoint endpoint("10.0.0.1", port);
+    record.setEndpoints(endpoint, endpoint, endpoint);
+    return record;
+}
+
+std::vector<MemberRecord> fleet()
+{
+    return { member("a-1", "a", 1), member("a-2", "a", 2), member("a-3", "a", 3), member("b-1", "b", 4), member("b-2", "b", 5) };
+}
+
+std::vector<MemberRecord> without(const std::string& name)
+{
+    std::vector<MemberRecord> members = fleet();
+    std::erase_if(members, [&](const MemberRecord& each) { return each.name().value() == name; });
+    return members;
+}
+
+NewsSource sourceOf(const MemberRecord& self)
+{
+    NewsSource source(self);
+    source.setMembers(without(self.name().value()));
+    return source;
+}
+
+StoreItem item(const std::string& key, std::uint64_t revision, const std::string& value = "v")
+{
+    return { key, value, revision, false };
+}
+
+StoreResult items(std::vector<StoreItem> list, std::uint64_t asOf, bool more = false)
+{
+    StoreResult result;
+    result.kind = StoreResult::Kind::Items;
+    result.items = std::move(list);
+    result.asOf = asOf;
+    result.more = more;
+    return result;
+}
+
+StoreResult changes(std::vector<StoreItem> list, std::uint64_t asOf)
+{
+    StoreResult result = items(std::move(list), asOf);
+    result.kind = StoreResult::Kind::Changes;
+    return result;
+}
+
+StoreTiming timing()
+{
+    StoreTiming timing;
+    timing.gatherTime = Duration(0);
+    return timing;
+}
+
+} // namespace
+
+TEST_CASE("one host of a data centre follows the store, the others follow it")
+{
+    std::size_t followers = 0;
+    std::set<std::string> sources;
+    for (const MemberRecord& self : fleet()) {
+        NewsSource source = sourceOf(self);
+        followers += source.follows();
+        NewsSource::Choice choice = source.choose(at(0));
+        CHECK(choice.host.has_value() != source.follows());
+        if (self.dataCentre().value() == "a" && choice.host)
+            sources.insert(choice.host->text());
+    }
+    CHECK(followers == 2);
+    CHECK(sources.size() == 1);
+}
+
+TEST_CASE("a host whose source fails reads the store itself")
+{
+    for (const MemberRecord& self : fleet()) {
+        NewsSource source = sourceOf(self);
+        NewsSource::Choice choice = source.choose(at(0));
+        if (!choice.host)
+            continue;
+        source.failed(choice, at(0));
+        CHECK_FALSE(source.choose(at(1)).host.has_value());
+    }
+}
+
+TEST_CASE("a store that failed once is asked again before every host was")
+{
+    for (const MemberRecord& self : fleet()) {
+        NewsSource source = sourceOf(self);
+        bool storeAsked = false;
+        source.failed({}, at(0));
+        for (int time = 100; time <= 600; time += 100) {
+            NewsSource::Choice choice = source.choose(at(time));
+            storeAsked = storeAsked || !choice.host;
+            source.failed(choice, at(time));
+        }
+        CHECK(storeAsked);
+    }
+}
+
+TEST_CASE("a host that the store turns away reads from other hosts")
+{
+    NewsSource source = sourceOf(fleet().front());
+    source.failed({}, at(0));
+    NewsSource::Choice choice = source.choose(at(1));
+    if (source.follows())
+        CHECK(choice.host.has_value());
+}
+
+TEST_CASE("a follower reads pages, then watches from the revision of the first page")
+{
+    StoreFollower follower("", timing(), 1);
+    auto first = follower.begin(at(0));
+    REQUIRE(first);
+    CHECK(first->kind == StoreRead::Kind::Page);
+    CHECK_FALSE(follower.begin(at(0)));
+    StoreNews news = follower.finish(items({ item("a", 3) }, 10, true), at(1));
+    CHECK(news.changes.size() == 1);
+    CHECK_FALSE(news.allKeys);
+    auto second = follower.begin(at(1));
+    REQUIRE(second);
+    CHECK(second->afterKey == "a");
+    news = follower.finish(items({ item("b", 11) }, 12), at(2));
+    REQUIRE(news.allKeys);
+    CHECK(*news.allKeys == std::set<std::string> { "a", "b" });
+    auto watch = follower.begin(at(2));
+    REQUIRE(watch);
+    CHECK(watch->kind == StoreRead::Kind::Watch);
+    CHECK(watch->afterRevision == 10);
+}
+
+TEST_CASE("a follower goes on after faults of the store")
+{
+    struct Case {
+        const char* name;
+        StoreResult::Kind kind;
+        StoreRead::Kind next;
+    };
+    for (const Case& each : { Case { "lost history", StoreResult::Kind::HistoryLost, StoreRead::Kind::Page }, Case { "failure", StoreResult::Kind::Failed, StoreRead::Kind::Watch } }) {
+        INFO(each.name);
+        StoreFollower follower("", timing(), 1);
+        follower.begin(at(0));
+        follower.finish(items({ item("a", 3) }, 10), at(0));
+        follower.begin(at(0));
+        StoreResult result;
+        result.kind = each.kind;
+        follower.finish(result, at(5));
+        auto due = follower.due();
+        REQUIRE(due);
+        CHECK(*due <= at(5) + timing().longestRetry);
+        auto read = follower.begin(*due);
+        REQUIRE(read);
+        CHECK(read->kind == each.next);
+    }
+}
+
+TEST_CASE("a follower never goes back: older changes are left out, later ones come in order")
+{
+    StoreFollower follower("", timing(), 1);
+    follower.begin(at(0));
+    follower.finish(items({}, 10), at(0));
+    follower.begin(at(0));
+    StoreNews news = follower.finish(changes({ item("c", 14), item("old", 9), item("b", 12) }, 14), at(1));
+    REQUIRE(news.changes.size() == 2);
+    CHECK(news.changes[0].key == "b");
+    CHECK(news.changes[1].key == "c");
+    CHECK(follower.revision() == 14);
+}
+
+TEST_CASE("a mirror answers reads as the store would")
+{
+    StoreMirror mirror;
+    StoreRead page;
+    CHECK(mirror.answer(page).kind == StoreResult::Kind::Failed);
+    StoreNews all;
+    all.changes = { item("a", 3), item("b", 4) };
+    all.allKeys = std::set<std::string> { "a", "b" };
+    mirror.take(all, 10, at(0));
+    CHECK(mirror.answer(page).items.size() == 2);
+    StoreRead watch;
+    watch.kind = StoreRead::Kind::Watch;
+    watch.afterRevision = 10;
+    CHECK_FALSE(mirror.hasNews(watch));
+    StoreNews removal;
+    removal.changes = { { "a", "", 11, true } };
+    mirror.take(removal, 11, at(1));
+    REQUIRE(mirror.hasNews(watch));
+    StoreResult result = mirror.answer(watch);
+    REQUIRE(result.items.size() == 1);
+    CHECK(result.items[0].removed);
+    CHECK(mirror.answer(page).items.size() == 1);
+    watch.afterRevision = 5;
+    CHECK(mirror.answer(watch).kind == StoreResult::Kind::HistoryLost);
+    mirror.forget(at(120000));
+    watch.afterRevision = 10;
+    CHECK(mirror.answer(watch).kind == StoreResult::Kind::HistoryLost);
+}
+
+TEST_CASE("what a new full reading leaves out is removed for the readers of a mirror")
+{
+    StoreMirror mirror;
+    StoreNews all;
+    all.changes = { item("a", 3), item("b", 4) };
+    all.allKeys = std::set<std::string> { "a", "b" };
+    mirror.take(all, 10, at(0));
+    StoreNews again;
+    again.changes = { item("b", 4) };
+    again.allKeys = std::set<std::string> { "b" };
+    mirror.take(again, 20, at(1));
+    StoreRead watch;
+    watch.kind = StoreRead::Kind::Watch;
+    watch.afterRevision = 10;
+    StoreResult result = mirror.answer(watch);
+    REQUIRE(result.items.size() == 1);
+    CHECK(result.items[0].key == "a");
+    CHECK(result.items[0].removed);
+}
+
+TEST_CASE("news between hosts survive the way, and bad bytes are a failure with a cause")
+{
+    StoreResult result = changes({ item("k", 7, std::string("\0\xff\"", 3)), { "gone", "", 8, true } }, 9);
+    StoreResult back = decodeNews(200, encodeNews(result));
+    CHECK(back.kind == StoreResult::Kind::Changes);
+    CHECK(back.asOf == 9);
+    REQUIRE(back.items.size() == 2);
+    CHECK(back.items[0].value == result.items[0].value);
+    CHECK(back.items[1].removed);
+    std::string bytes = encodeNews(result);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        StoreResult cut = decodeNews(200, bytes.substr(0, size));
+        CHECK(cut.kind == StoreResult::Kind::Failed);
+        CHECK_FALSE(cut.cause.empty());
+    }
+    CHECK(decodeNews(200, bytes + "x").kind == StoreResult::Kind::Failed);
+    CHECK(decodeNews(503, bytes).kind == StoreResult::Kind::Failed);
+    for (const char* path : { "/", "/v1/news/since/", "/v1/news/since/1", "/v1/news/since/x/5", "/v1/news/since/1/999999999" })
+        CHECK_FALSE(readOfNewsPath(path));
+    StoreRead watch;
+    watch.kind = StoreRead::Kind::Watch;
+    watch.afterRevision = 42;
+    watch.wait = std::chrono::milliseconds(750);
+    auto read = readOfNewsPath(newsPath(watch));
+    REQUIRE(read);
+    CHECK(read->afterRevision == 42);
+    CHECK(read->wait == watch.wait);
+}
