Tests of the calls, the pool, the news, the adapter, the target links and one whole edge

Change: fakes written by hand (ServeFakes, ChildProcess, a raw server); a scan keeps the platform's words in platform/.

--- a/Pimentopoint/src/Net/NewsFeed.cpp
+++ b/Pimentopoint/src/Net/NewsFeed.cpp
@@ -30,7 +30,7 @@
     {
         StoreTiming timing;
         timing.watchWait = scaled(newsTime, storeWatchUse);
-    timing.watchSlack = scaled(newsTime, storeSlackUse);
+        timing.watchSlack = scaled(newsTime, storeSlackUse);
         return timing;
     }
 
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -71,7 +71,8 @@
     , m_pool(m_settings.dataCentre, poolTiming(m_settings), seedOf(m_settings, "targets"),
           [](const TargetName& target, std::string_view event, std::string_view detail) { Log::event(Severity::Info, event, { { "target", target }, { "cause", detail } }); })
     , m_engine(m_pool, m_metrics, limitsFrom(m_settings), [this](const CallRecord& each) { record(each); })
-    , m_targets(m_context, m_clock, platform::headerDialect(), m_metrics,
+    , m_targets(
+          m_context, m_clock, platform::headerDialect(), m_metrics,
           [this](SendId send, TargetReply reply) {
               CallActions actions;
               m_engine.ended(send, std::move(reply), m_clock.now(), actions);
--- a/standins/StandinStore.cpp
+++ b/standins/StandinStore.cpp
@@ -90,7 +90,9 @@
     if (m_fault == Fault::Silent)
         return;
     if (m_fault != Fault::None) {
-        answer(call, m_fault == Fault::Busy ? busy : m_fault == Fault::TooMany ? tooMany : 200, m_fault == Fault::Garbled ? "{\"items\":" : "");
+        answer(call, m_fault == Fault::Busy ? busy : m_fault == Fault::TooMany ? tooMany
+                                                                               : 200,
+            m_fault == Fault::Garbled ? "{\"items\":" : "");
         return;
     }
     auto query = queryOf(target);
--- /dev/null
+++ b/test/CallTest.cpp
@@ -0,0 +1,294 @@
+#include "ServeFakes.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentopoint;
+
+namespace {
+
+void discover(ServeFleet& fleet, std::size_t shards, int replicas = 3)
+{
+    for (std::size_t i = 0; i < shards; ++i) {
+        for (int r = 0; r < replicas; ++r)
+            fleet.pool.put(targetOf("s" + std::to_string(i), r + 1, std::string(1, static_cast<char>('a' + r))), millisecond(0));
+    }
+}
+
+std::string record(char c)
+{
+    return std::string(recordBytes, c);
+}
+
+/// Gives the engine credit for repeats by calls that go well.
+void earnCredit(ServeFleet& fleet, const std::string& host)
+{
+    for (int i = 0; i < 20; ++i) {
+        fleet.ask(host, millisecond(0));
+        while (!fleet.sends.empty()) {
+            auto send = fleet.sends.begin()->first;
+            fleet.reply(send, ServeFleet::ok("x"), millisecond(5));
+        }
+    }
+    fleet.answers.clear();
+    fleet.arrivals.clear();
+}
+
+} // namespace
+
+TEST_CASE("a fan-out answers the greatest records of all shards with one signature a shard")
+{
+    ServeFleet fleet({ fanOutRoute(3) });
+    discover(fleet, 3);
+    CallId call = fleet.ask("fan.example", millisecond(0));
+    REQUIRE(fleet.sends.size() == 3);
+    char letter = 'a';
+    for (auto [id, send] : std::map(fleet.sends)) {
+        fleet.reply(id, ServeFleet::ok(send.target.value(), record(letter) + record(static_cast<char>(letter + 3)) + "rest"), millisecond(5));
+        ++letter;
+    }
+    REQUIRE(fleet.answers.contains(call));
+    const CallerAnswer& answer = fleet.answers[call];
+    CHECK(answer.status == 200);
+    CHECK(answer.missingParts == 0);
+    CHECK(answer.body == record('f') + record('e') + record('d') + record('c'));
+    CHECK(std::count(answer.partStamps.begin(), answer.partStamps.end(), ',') == 2);
+}
+
+TEST_CASE("a shard that is late is asked at another target, and only one of its answers counts")
+{
+    ServeFleet fleet({ fanOutRoute(3) });
+    discover(fleet, 3);
+    earnCredit(fleet, "fan.example");
+    CallId call = fleet.ask("fan.example", millisecond(100));
+    auto late = *fleet.sends.begin();
+    for (auto [id, send] : std::map(fleet.sends)) {
+        if (id != late.first)
+            fleet.reply(id, ServeFleet::ok(send.target.value()), millisecond(105));
+    }
+    fleet.tick(millisecond(180));
+    REQUIRE(fleet.sends.size() == 2);
+    auto hedge = *fleet.sends.rbegin();
+    CHECK(hedge.second.target != late.second.target);
+    fleet.reply(hedge.first, ServeFleet::ok("hedge"), millisecond(185));
+    REQUIRE(fleet.answers.contains(call));
+    CHECK(fleet.answers[call].missingParts == 0);
+    CHECK(fleet.answers[call].partStamps.find("hedge") != std::string::npos);
+    // The late answer belongs to nobody now.
+    fleet.reply(late.first, ServeFleet::ok("late"), millisecond(190));
+    CHECK(fleet.answers.size() == 1);
+}
+
+TEST_CASE("a fan-out with enough shards is answered before its objective, one with too few waits")
+{
+    struct Case {
+        const char* name;
+        std::size_t replies;
+        bool answered;
+    };
+    for (const Case& each : { Case { "three of four", 3, true }, Case { "two of four", 2, false } }) {
+        INFO(each.name);
+        ServeFleet fleet({ fanOutRoute(4) });
+        discover(fleet, 4, 1);
+        CallId call = fleet.ask("fan.example", millisecond(0));
+        std::size_t left = each.replies;
+        for (auto [id, send] : std::map(fleet.sends)) {
+            if (left-- == 0)
+                break;
+            fleet.reply(id, ServeFleet::ok(send.target.value()), millisecond(5));
+        }
+        CHECK_FALSE(fleet.answers.contains(call));
+        fleet.tick(millisecond(195));
+        CHECK(fleet.answers.contains(call) == each.answered);
+        if (each.answered)
+            CHECK(fleet.answers[call].missingParts == 1);
+        fleet.tick(millisecond(1999));
+        REQUIRE(fleet.answers.contains(call));
+        CHECK(fleet.answers[call].status == (each.answered ? 200 : 504));
+    }
+}
+
+TEST_CASE("a fan-out that can no longer have enough shards is refused at once")
+{
+    ServeFleet fleet({ fanOutRoute(4) });
+    discover(fleet, 2);
+    CallId call = fleet.ask("fan.example", millisecond(0));
+    REQUIRE(fleet.answers.contains(call));
+    CHECK(fleet.answers[call].status != 200);
+}
+
+TEST_CASE("all parts of an answer come from one version of the routes")
+{
+    ServeFleet fleet({ fanOutRoute(2) });
+    discover(fleet, 4);
+    CallId call = fleet.ask("fan.example", millisecond(0));
+    RoutePolicy other = fanOutRoute(4);
+    other.shards.erase(other.shards.begin(), other.shards.begin() + 2);
+    fleet.setRoutes({ other }, 8, 2);
+    for (auto [id, send] : std::map(fleet.sends))
+        fleet.reply(id, ServeFleet::ok(send.target.value()), millisecond(5));
+    REQUIRE(fleet.answers.contains(call));
+    CHECK(fleet.answers[call].partStamps.find("s0-") != std::string::npos);
+    CHECK(fleet.answers[call].partStamps.find("s2-") == std::string::npos);
+    fleet.ask("fan.example", millisecond(10));
+    for (const auto& [id, send] : fleet.sends)
+        CHECK((send.target.value().starts_with("s2") || send.target.value().starts_with("s3")));
+}
+
+TEST_CASE("what may not be repeated is sent again only if it certainly did not run")
+{
+    struct Case {
+        const char* name;
+        bool repeatable;
+        TargetReply reply;
+        bool sentAgain;
+        unsigned status;
+    };
+    const Case cases[] = {
+        { "lost, once only", false, ServeFleet::lost(), false, 502 },
+        { "lost, repeatable", true, ServeFleet::lost(), true, 0 },
+        { "not sent, once only", false, ServeFleet::lost(TargetReply::End::NotSent), true, 0 },
+        { "refused, once only", false, ServeFleet::refused(), true, 0 },
+    };
+    for (const Case& each : cases) {
+        INFO(each.name);
+        RoutePolicy route = singleRoute("one");
+        route.repeatable = each.repeatable;
+        ServeFleet fleet({ route });
+        for (int i = 1; i <= 3; ++i)
+            fleet.pool.put(targetOf("one", i), millisecond(0));
+        earnCredit(fleet, "single.example");
+        CallId call = fleet.ask("single.example", millisecond(0));
+        fleet.reply(fleet.sends.begin()->first, each.reply, millisecond(1));
+        CHECK(fleet.sends.size() == (each.sentAgain ? 1 : 0));
+        if (!each.sentAgain)
+            CHECK(fleet.answers[call].status == each.status);
+        // Nor is it ever hedged.
+        fleet.tick(millisecond(150));
+        std::size_t most = each.repeatable ? 2 : 1;
+        CHECK(fleet.sends.size() <= most);
+    }
+}
+
+TEST_CASE("a refusal says not run only if nothing ran")
+{
+    for (bool ran : { false, true }) {
+        ServeFleet fleet({ singleRoute("one") });
+        for (int i = 1; i <= 3; ++i)
+            fleet.pool.put(targetOf("one", i), millisecond(0));
+        CallId call = fleet.ask("single.example", millisecond(0));
+        while (!fleet.sends.empty())
+            fleet.reply(fleet.sends.begin()->first, ran ? ServeFleet::lost() : ServeFleet::refused(), millisecond(1));
+        REQUIRE(fleet.answers.contains(call));
+        CHECK(fleet.answers[call].status == (ran ? 502 : 503));
+        CHECK((fleet.answers[call].retryAfter > Duration(0)) == !ran);
+    }
+}
+
+TEST_CASE("no request goes to more targets than its route allows")
+{
+    RoutePolicy route = singleRoute("one");
+    route.maxAttempts = 2;
+    ServeFleet fleet({ route });
+    for (int i = 1; i <= 6; ++i)
+        fleet.pool.put(targetOf("one", i), millisecond(0));
+    earnCredit(fleet, "single.example");
+    fleet.ask("single.example", millisecond(0));
+    while (!fleet.sends.empty())
+        fleet.reply(fleet.sends.begin()->first, ServeFleet::refused(), millisecond(1));
+    int sum = 0;
+    for (const auto& [target, count] : fleet.arrivals)
+        sum += count;
+    CHECK(sum == 2);
+}
+
+TEST_CASE("repeats of a service stay a share of its requests, whatever fails")
+{
+    ServeFleet fleet({ singleRoute("one") });
+    for (int i = 1; i <= 3; ++i)
+        fleet.pool.put(targetOf("one", i), millisecond(0));
+    constexpr int calls = 1000;
+    for (int i = 0; i < calls; ++i) {
+        fleet.ask("single.example", millisecond(i));
+        while (!fleet.sends.empty())
+            fleet.reply(fleet.sends.begin()->first, ServeFleet::lost(), millisecond(i));
+    }
+    int sum = 0;
+    for (const auto& [target, count] : fleet.arrivals)
+        sum += count;
+    CHECK(sum - calls <= static_cast<int>(calls * CallLimits().extraShare.value() + CallLimits().firstExtras));
+    CHECK(sum > calls);
+}
+
+TEST_CASE("a target's own failure goes back unchanged, with its signature")
+{
+    RoutePolicy route = singleRoute("one");
+    route.maxAttempts = 1;
+    ServeFleet fleet({ route });
+    fleet.pool.put(targetOf("one", 1), millisecond(0));
+    CallId call = fleet.ask("single.example", millisecond(0));
+    TargetReply failure = ServeFleet::ok("stamp", "why");
+    failure.status = 500;
+    failure.headers.emplace_back("Stamp", "stamp");
+    fleet.reply(fleet.sends.begin()->first, failure, millisecond(1));
+    CHECK(fleet.answers[call].status == 500);
+    CHECK(fleet.answers[call].body == "why");
+    REQUIRE(fleet.answers[call].headers.size() == 1);
+}
+
+TEST_CASE("work for a caller that left ends soon")
+{
+    ServeFleet fleet({ singleRoute("one") });
+    fleet.pool.put(targetOf("one", 1), millisecond(0));
+    CallId call = fleet.ask("single.example", millisecond(0));
+    fleet.leave(call, millisecond(50));
+    fleet.tick(millisecond(100));
+    CHECK(fleet.sends.size() == 1);
+    fleet.tick(millisecond(50 + 301));
+    CHECK(fleet.sends.empty());
+    CHECK(fleet.aborts == 1);
+    CHECK(fleet.answers.empty());
+}
+
+TEST_CASE("every call ends before its caller's deadline and its route's timeout")
+{
+    for (int patience : { 300, 5000 }) {
+        ServeFleet fleet({ singleRoute("one") });
+        fleet.pool.put(targetOf("one", 1), millisecond(0));
+        CallId call = fleet.ask("single.example", millisecond(0), std::chrono::milliseconds(patience));
+        int limit = std::min(patience, 2000);
+        fleet.tick(millisecond(limit - 1));
+        REQUIRE(fleet.answers.contains(call));
+        CHECK(fleet.answers[call].status == 504);
+    }
+}
+
+TEST_CASE("without routes a host refuses as not run; an unknown route is not found")
+{
+    Metrics metrics;
+    TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
+    CallEngine engine(pool, metrics, CallLimits(), [](const CallRecord&) {});
+    CallActions actions;
+    auto request = std::make_shared<CallerRequest>();
+    request->target = "/";
+    engine.begin(CallId(1), request, millisecond(0), actions);
+    REQUIRE(actions.answers.size() == 1);
+    CHECK(actions.answers[0].answer.status == 503);
+    ServeFleet fleet({ singleRoute("one") });
+    CallId call = fleet.ask("other.example", millisecond(0));
+    CHECK(fleet.answers[call].status == 404);
+}
+
+TEST_CASE("weighted services get their share of the requests")
+{
+    RoutePolicy route = singleRoute("one");
+    route.services = { { ServiceName("one"), 3 }, { ServiceName("two"), 1 } };
+    ServeFleet fleet({ route });
+    fleet.pool.put(targetOf("one", 1), millisecond(0));
+    fleet.pool.put(targetOf("two", 2), millisecond(0));
+    for (int i = 0; i < 40; ++i) {
+        fleet.ask("single.example", millisecond(i));
+        fleet.reply(fleet.sends.begin()->first, ServeFleet::ok("x"), millisecond(i));
+    }
+    CHECK(fleet.arrivals[TargetName("one-1")] == 30);
+    CHECK(fleet.arrivals[TargetName("two-2")] == 10);
+}
--- /dev/null
+++ b/test/ChildProcess.h
@@ -0,0 +1,69 @@
+/// \file
+/// One program of the product as a child of a test.
+#pragma once
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <stdexcept>
+#include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace pimentopoint {
+
+/// \class ChildProcess
+/// \brief Runs a program with a settings file of its own; its output goes to a file. Killed with the test.
+class ChildProcess {
+public:
+    ChildProcess(const std::string& program, const std::string& settings)
+    {
+        char folder[] = "/tmp/pimentopoint-test-XXXXXX";
+        if (!mkdtemp(folder))
+            throw std::runtime_error("no folder can be made under /tmp");
+        m_folder = folder;
+        std::ofstream(m_folder + "/settings.yaml") << settings;
+        std::string path = std::string(PIMENTOPOINT_BINARIES) + "/" + program;
+        std::string option = "--settings";
+        std::string file = m_folder + "/settings.yaml";
+        char* arguments[] = { path.data(), option.data(), file.data(), nullptr };
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_addopen(&actions, 1, log().c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+        posix_spawn_file_actions_addopen(&actions, 2, log().c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+        int failed = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, arguments, environ);
+        posix_spawn_file_actions_destroy(&actions);
+        if (failed)
+            throw std::runtime_error(path + " can't be started");
+    }
+    ~ChildProcess()
+    {
+        if (m_pid > 0) {
+            kill(m_pid, SIGKILL);
+            waitForExit();
+        }
+    }
+    ChildProcess(const ChildProcess&) = delete;
+    ChildProcess& operator=(const ChildProcess&) = delete;
+
+    void signal(int number) const { kill(m_pid, number); }
+    /// \returns its exit code, or minus the signal that ended it
+    int waitForExit()
+    {
+        int status = 0;
+        waitpid(m_pid, &status, 0);
+        m_pid = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
+    std::string log() const { return m_folder + "/log"; }
+
+private:
+    std::string m_folder;
+    pid_t m_pid = 0;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/test/PlatformTest.cpp
@@ -0,0 +1,155 @@
+#include "../platform/Dialect.h"
+#include "../platform/Documents.h"
+#include "../platform/StoreFormat.h"
+
+#include <catch2/catch.hpp>
+#include <cereal/external/base64.hpp>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+using namespace pimentopoint;
+
+namespace {
+
+StoreItem itemOf(const std::string& key, const std::string& value)
+{
+    return { key, value, 5, false };
+}
+
+nlohmann::json goodEntry()
+{
+    return { { "service", "s" }, { "address", "10.1.2.3:80" }, { "zone", "a" }, { "version", "v1" }, { "slots", 2 }, { "state", "ready" }, { "warmup_left_ms", 0 }, { "sequence", 4 } };
+}
+
+nlohmann::json goodConfiguration()
+{
+    return { { "version", 7 },
+        { "routes",
+            { { { "name", "fan" }, { "host", "Fan.example" }, { "prefix", "/f/" }, { "kind", "idempotent" }, { "timeout_ms", 600 }, { "goal_ms", 60 }, { "priority", 2 }, { "fanout", { "x", "y" } }, { "max_attempts", 2 }, { "top_k", 5 }, { "min_coverage", 0.75 } },
+                { { "name", "parts" }, { "host", "p.example" }, { "prefix", "/" }, { "kind", "non_idempotent" }, { "timeout_ms", 900 }, { "backends", { { { "service", "x" }, { "weight", 3 } }, { { "service", "y" }, { "weight", 1 } } } }, { "max_attempts", 1 } } } },
+        { "services", { { { "name", "x" }, { "health_path", "/health" }, { "max_connections", 26 }, { "warmup_per_s", 0.5 } } } },
+        { "limits", { { "header_bytes", 100 }, { "body_bytes", 200 }, { "header_timeout_ms", 300 }, { "idle_timeout_ms", 400 } } } };
+}
+
+} // namespace
+
+TEST_CASE("a configuration is decoded into routes that say what they hold")
+{
+    auto change = platform::decode(itemOf("op/config", goodConfiguration().dump()));
+    auto* parts = std::get_if<RoutingTable::Parts>(&change);
+    REQUIRE(parts);
+    CHECK(parts->version == ConfigurationVersion(7));
+    const RoutePolicy& fan = parts->routes[0];
+    CHECK(fan.host == "fan.example");
+    CHECK(fan.repeatable);
+    CHECK(fan.fansOut());
+    CHECK(fan.topRecords == 5);
+    CHECK(fan.minCoverage == Fraction(0.75));
+    CHECK(fan.timeout == std::chrono::milliseconds(600));
+    CHECK(fan.objective == std::chrono::milliseconds(60));
+    const RoutePolicy& weighted = parts->routes[1];
+    CHECK_FALSE(weighted.repeatable);
+    CHECK(weighted.services.size() == 2);
+    CHECK(weighted.services[0].weight == 3);
+    CHECK(weighted.objective == weighted.timeout);
+    CHECK(parts->services[0].maxConnections == 26);
+    CHECK(parts->services[0].coldRequestsPerSecond == 0.5);
+    CHECK(parts->limits.bodyBytes == 200);
+}
+
+TEST_CASE("fields that nobody here knows are ignored")
+{
+    nlohmann::json entry = goodEntry();
+    entry["later"] = { 1, 2 };
+    auto change = platform::decode(itemOf("servers/i-1", entry.dump()));
+    CHECK(std::holds_alternative<DiscoveredTarget>(change));
+    CHECK(std::holds_alternative<std::monostate>(platform::decode(itemOf("op/other", "x"))));
+    CHECK(std::holds_alternative<std::monostate>(platform::decode(itemOf("my/leader", "x"))));
+}
+
+TEST_CASE("a malformed entry names no target")
+{
+    struct Case {
+        const char* field;
+        nlohmann::json value;
+    };
+    const Case cases[] = { { "service", 4 }, { "address", "nowhere" }, { "address", "10.0.0.1:0" }, { "zone", nullptr }, { "version", 1 }, { "slots", "2" }, { "slots", 0 }, { "slots", 1.5 },
+        { "state", "sleeping" }, { "state", 1 }, { "warmup_left_ms", "0" }, { "sequence", "4" }, { "sequence", 4.5 }, { "born", 1.5 }, { "born", "now" } };
+    for (const Case& each : cases) {
+        INFO(each.field << " = " << each.value.dump());
+        nlohmann::json entry = goodEntry();
+        entry[each.field] = each.value;
+        CHECK_THROWS_AS(platform::decode(itemOf("servers/i-1", entry.dump())), platform::MalformedDocument);
+    }
+    for (const char* field : { "service", "address", "zone", "version", "slots", "state", "warmup_left_ms", "sequence" }) {
+        INFO("without " << field);
+        nlohmann::json entry = goodEntry();
+        entry.erase(field);
+        CHECK_THROWS_AS(platform::decode(itemOf("servers/i-1", entry.dump())), platform::MalformedDocument);
+    }
+    for (const char* bytes : { "", "{", "[]", "\xff\xfe", "null", "{\"service\":" })
+        CHECK_THROWS_AS(platform::decode(itemOf("servers/i-1", bytes)), platform::MalformedDocument);
+}
+
+TEST_CASE("evacuations and removed entries are told apart")
+{
+    auto begins = platform::decode(itemOf("op/evacuate/a", "{}"));
+    REQUIRE(std::get_if<platform::Evacuation>(&begins));
+    CHECK(std::get<platform::Evacuation>(begins).begins);
+    auto ends = platform::decode({ "op/evacuate/a", "", 9, true });
+    CHECK_FALSE(std::get<platform::Evacuation>(ends).begins);
+    auto gone = platform::decode({ "servers/i-1", "", 9, true });
+    CHECK(std::get<platform::TargetGone>(gone).name == TargetName("i-1"));
+}
+
+TEST_CASE("the store's answers are decoded, and what can't be read is a failure with a cause")
+{
+    StoreRead page;
+    StoreRead watch;
+    watch.kind = StoreRead::Kind::Watch;
+    watch.afterRevision = 41;
+    watch.wait = std::chrono::milliseconds(1500);
+    CHECK(platform::storePath(watch) == "/api/kv-watch?prefix=&after=41&wait_ms=1500");
+    page.afterKey = "servers/i 1";
+    CHECK(platform::storePath(page) == "/api/kv-range?prefix=&after=servers/i%201");
+    nlohmann::json good = { { "items", { { { "key", "k" }, { "value", "dmFsdWU=" }, { "revision", 3 }, { "created", 3 }, { "lease", 0 } } } }, { "has_more", true }, { "as_of", 9 } };
+    StoreResult result = platform::storeResult(page, 200, good.dump());
+    CHECK(result.kind == StoreResult::Kind::Items);
+    CHECK(result.items.at(0).value == "value");
+    CHECK(result.more);
+    CHECK(result.asOf == 9);
+    CHECK(platform::storeResult(watch, 410, "").kind == StoreResult::Kind::HistoryLost);
+    nlohmann::json events = { { "events", { { { "key", "k" }, { "revision", 4 }, { "removed", true } } } }, { "as_of", 10 } };
+    result = platform::storeResult(watch, 200, events.dump());
+    CHECK(result.kind == StoreResult::Kind::Changes);
+    CHECK(result.items.at(0).removed);
+    for (unsigned status : { 429U, 503U, 404U, 500U }) {
+        result = platform::storeResult(watch, status, "");
+        CHECK(result.kind == StoreResult::Kind::Failed);
+        CHECK_FALSE(result.cause.empty());
+    }
+    for (const char* body : { "", "{", "{}", "{\"items\":[{}],\"has_more\":false,\"as_of\":1}", "{\"items\":1}" })
+        CHECK(platform::storeResult(StoreRead(), 200, body).kind == StoreResult::Kind::Failed);
+}
+
+TEST_CASE("no word of the platform's wire stands outside its folder")
+{
+    const HeaderDialect& dialect = platform::headerDialect();
+    const std::vector<std::string> words { dialect.requestId, dialect.deadline, dialect.targetName, dialect.notRun, dialect.stamp, dialect.partStamps, dialect.missingParts, dialect.readinessPath,
+        "kv-range", "kv-watch", "op/config", "op/evacuate", "warmup_left_ms", "warmup_per_s", "max_attempts", "min_coverage", "top_k", "fanout", "X-Pimentopoint-", "PIMENTOPOINT_BOOT" };
+    for (const char* folder : { "Pimentopoint", "daemons", "cli", "examples" }) {
+        for (const auto& entry : std::filesystem::recursive_directory_iterator(std::filesystem::path(PIMENTOPOINT_SOURCE) / folder)) {
+            if (!entry.is_regular_file())
+                continue;
+            std::ifstream file(entry.path());
+            std::stringstream text;
+            text << file.rdbuf();
+            for (const std::string& word : words) {
+                INFO(entry.path() << " holds " << word);
+                CHECK(text.str().find(word) == std::string::npos);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/test/PoolTest.cpp
@@ -0,0 +1,221 @@
+#include "ServeFakes.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentopoint;
+
+namespace {
+
+struct Pool {
+    Pool()
+        : pool(DataCentreName("a"), TargetPoolTiming(), 7, [](const TargetName&, std::string_view, std::string_view) {})
+    {
+        setPolicy(20, 0);
+    }
+    void setPolicy(unsigned connections, double coldRate)
+    {
+        RoutingTable::Parts parts;
+        parts.routes.push_back(singleRoute("one"));
+        parts.services.push_back({ ServiceName("one"), "/health", connections, coldRate });
+        pool.setRouting(std::make_shared<const RoutingTable>(std::move(parts)));
+    }
+    std::optional<TargetPool::Choice> choose(int time, const std::vector<TargetName>& tried = {})
+    {
+        return pool.choose(ServiceName("one"), tried, millisecond(time), shortage);
+    }
+    /// Sends and ends at once, as \a reply says; \returns the target
+    TargetName exchange(int time, const TargetReply& reply, int takes = 10)
+    {
+        auto choice = choose(time);
+        if (!choice)
+            return TargetName("");
+        SendId id(++sends);
+        pool.sent(choice->name, id, std::chrono::milliseconds(10), std::chrono::milliseconds(30), millisecond(time));
+        pool.ended(choice->name, id, reply, millisecond(time + takes));
+        return choice->name;
+    }
+    TargetPool pool;
+    TargetPool::Shortage shortage = TargetPool::Shortage::None;
+    std::uint64_t sends = 0;
+};
+
+const TargetName first("one-1");
+const TargetName second("one-2");
+
+} // namespace
+
+TEST_CASE("a target with a request far longer outstanding than usual is avoided until it answers")
+{
+    Pool fleet;
+    fleet.pool.put(targetOf("one", 1), millisecond(0));
+    fleet.pool.put(targetOf("one", 2, "b"), millisecond(0));
+    fleet.pool.sent(first, SendId(1), std::chrono::milliseconds(10), std::chrono::milliseconds(30), millisecond(0));
+    for (int i = 0; i < 20; ++i)
+        CHECK(fleet.choose(31)->name == second);
+    fleet.pool.ended(first, SendId(1), ServeFleet::ok("x"), millisecond(100));
+    bool chosen = false;
+    for (int i = 0; i < 20; ++i)
+        chosen = chosen || fleet.choose(10000)->name == first;
+    CHECK(chosen);
+}
+
+TEST_CASE("targets at home are preferred while they serve")
+{
+    Pool fleet;
+    fleet.pool.put(targetOf("one", 1), millisecond(0));
+    fleet.pool.put(targetOf("one", 2, "b"), millisecond(0));
+    for (int i = 0; i < 50; ++i)
+        CHECK(fleet.exchange(i * 10, ServeFleet::ok("x")) == first);
+    // One refusal is enough to go elsewhere for a while, but not for long.
+    CHECK(fleet.exchange(600, ServeFleet::refused()) == first);
+    CHECK(fleet.choose(800)->name == second);
+    CHECK(fleet.choose(60000)->name == first);
+}
+
+TEST_CASE("a target that drains or whose entry is gone serves only where no other does, and not for long")
+{
+    struct Case {
+        const char* name;
+        bool drains;
+    };
+    for (const Case& each : { Case { "drains", true }, Case { "gone", false } }) {
+        INFO(each.name);
+        Pool fleet;
+        DiscoveredTarget leaving = targetOf("one", 1);
+        fleet.pool.put(leaving, millisecond(0));
+        fleet.pool.put(targetOf("one", 2, "b"), millisecond(0));
+        leaving.draining = true;
+        if (each.drains)
+            fleet.pool.put(leaving, millisecond(10));
+        else
+            fleet.pool.remove(first, millisecond(10));
+        CHECK(fleet.choose(20)->name == second);
+        CHECK(fleet.choose(20, { second })->name == first);
+        int after = 10 + static_cast<int>(TargetPoolTiming().leavingUse / std::chrono::milliseconds(1));
+        CHECK_FALSE(fleet.choose(after, { second }));
+        CHECK(fleet.shortage == TargetPool::Shortage::Absent);
+        // Entries lapse while the store is away and come back with it.
+        leaving.draining = false;
+        fleet.pool.put(leaving, millisecond(after));
+        CHECK(fleet.choose(after, { second })->name == first);
+    }
+}
+
+TEST_CASE("an evacuated data centre gets nothing, not even as a last resort")
+{
+    Pool fleet;
+    fleet.pool.put(targetOf("one", 1), millisecond(0));
+    fleet.pool.setExcluded({ DataCentreName("a") });
+    CHECK_FALSE(fleet.choose(0));
+    fleet.pool.setExcluded({});
+    CHECK(fleet.choose(0));
+}
+
+TEST_CASE("a target with another one at its address is not asked again")
+{
+    Pool fleet;
+    fleet.pool.put(targetOf("one", 1), millisecond(0));
+    TargetReply reply = ServeFleet::refused();
+    reply.otherTarget = true;
+    fleet.exchange(5000, reply, 0);
+    CHECK_FALSE(fleet.choose(5001));
+}
+
+TEST_CASE("a target that starts again under its name is a new one")
+{
+    Pool fleet;
+    DiscoveredTarget target = targetOf("one", 1);
+    target.startedAt = 1;
+    fleet.pool.put(target, millisecond(0));
+    fleet.pool.remove(first, millisecond(0));
+    CHECK_FALSE(fleet.choose(5000));
+    target.startedAt = 2;
+    fleet.pool.put(target, millisecond(5000));
+    CHECK(fleet.choose(5000));
+}
+
+TEST_CASE("all hosts together stay within a target's connections")
+{
+    struct Case {
+        unsigned connections;
+        std::size_t hosts;
+    };
+    for (const Case& each : { Case { 26, 8 }, Case { 46, 8 }, Case { 62, 61 }, Case { 410, 58 }, Case { 100, 3 } }) {
+        Pool fleet;
+        fleet.setPolicy(each.connections, 0);
+        fleet.pool.setHosts(each.hosts);
+        fleet.pool.put(targetOf("one", 1), millisecond(0));
+        std::size_t sent = 0;
+        while (auto choice = fleet.choose(0)) {
+            fleet.pool.sent(choice->name, SendId(++sent), std::chrono::milliseconds(10), std::chrono::milliseconds(30), millisecond(0));
+            REQUIRE(sent < 1000);
+        }
+        CHECK(fleet.shortage == TargetPool::Shortage::Busy);
+        CHECK(sent >= 1);
+        CHECK(sent * each.hosts <= each.connections);
+    }
+}
+
+TEST_CASE("all hosts together stay within what a cold target tolerates in any second")
+{
+    constexpr double perSecond = 4;
+    constexpr double factor = 1.5;
+    constexpr double slack = 5;
+    for (std::size_t hosts : { 1U, 3U, 8U, 60U }) {
+        std::multiset<int> times;
+        for (std::size_t host = 0; host < hosts; ++host) {
+            Pool fleet;
+            fleet.setPolicy(1000, perSecond);
+            fleet.pool.setHosts(hosts);
+            DiscoveredTarget cold = targetOf("one", 1);
+            cold.coldFor = std::chrono::seconds(10);
+            fleet.pool.put(cold, millisecond(0));
+            for (int time = static_cast<int>(host); time < 10000; time += 5) {
+                if (!fleet.exchange(time, ServeFleet::ok("x"), 0).value().empty())
+                    times.insert(time);
+            }
+        }
+        for (int start = 0; start < 10000; start += 10) {
+            auto count = std::distance(times.lower_bound(start), times.lower_bound(start + 1000));
+            INFO("hosts " << hosts << ", from " << start);
+            CHECK(static_cast<double>(count) <= perSecond * factor + slack);
+        }
+    }
+}
+
+TEST_CASE("connections are opened ahead to targets at home, and elsewhere only where there is room for every host")
+{
+    for (std::size_t hosts : { 4U, 60U }) {
+        Pool fleet;
+        fleet.setPolicy(62, 0);
+        fleet.pool.setHosts(hosts);
+        fleet.pool.put(targetOf("one", 1), millisecond(0));
+        fleet.pool.put(targetOf("one", 2, "b"), millisecond(0));
+        std::set<TargetName> opened;
+        for (int i = 0; i < 5; ++i) {
+            for (const auto& choice : fleet.pool.unconnected(1, millisecond(i))) {
+                opened.insert(choice.name);
+                fleet.pool.setConnections(choice.name, 1);
+            }
+        }
+        CHECK(opened.contains(first));
+        CHECK(opened.contains(second) == (hosts == 4));
+    }
+}
+
+TEST_CASE("routes match by host and longest prefix")
+{
+    RoutingTable::Parts parts;
+    for (const char* prefix : { "/a/", "/a/b/", "/" }) {
+        RoutePolicy route = singleRoute("one");
+        route.name = RouteName(prefix);
+        route.host = "Shop.Example";
+        route.prefix = prefix;
+        parts.routes.push_back(route);
+    }
+    RoutingTable table(std::move(parts));
+    CHECK(table.match("shop.example:80", "/a/b/c")->name.value() == "/a/b/");
+    CHECK(table.match("SHOP.example", "/a/x")->name.value() == "/a/");
+    CHECK(table.match("shop.example", "/a")->name.value() == "/");
+    CHECK(table.match("other.example", "/a/") == nullptr);
+}
--- /dev/null
+++ b/test/ServeFakes.h
@@ -0,0 +1,168 @@
+/// \file
+/// What the tests of Serve share: a fleet of discovered targets, routes, and a plain carrying out of actions.
+#pragma once
+
+#include <Pimentopoint/Core>
+#include <Pimentopoint/Serve>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pimentopoint {
+
+inline Instant millisecond(std::int64_t value)
+{
+    return Instant(std::chrono::milliseconds(value));
+}
+
+inline DiscoveredTarget targetOf(const std::string& service, int number, const std::string& dataCentre = "a")
+{
+    DiscoveredTarget target;
+    target.name = TargetName(service + "-" + std::to_string(number));
+    target.service = ServiceName(service);
+    target.endpoint = Endpoint("10.0.0." + std::to_string(number), 80);
+    target.dataCentre = DataCentreName(dataCentre);
+    target.slots = 2;
+    return target;
+}
+
+inline RoutePolicy singleRoute(const std::string& service)
+{
+    RoutePolicy route;
+    route.name = RouteName("single");
+    route.host = "single.example";
+    route.prefix = "/";
+    route.maxAttempts = 2;
+    route.timeout = std::chrono::seconds(2);
+    route.objective = std::chrono::milliseconds(200);
+    route.services.push_back({ ServiceName(service), 1 });
+    return route;
+}
+
+inline RoutePolicy fanOutRoute(std::size_t shards, double minCoverage = 0.75)
+{
+    RoutePolicy route = singleRoute("");
+    route.name = RouteName("fan");
+    route.host = "fan.example";
+    route.services.clear();
+    for (std::size_t i = 0; i < shards; ++i)
+        route.shards.emplace_back("s" + std::to_string(i));
+    route.topRecords = 4;
+    route.minCoverage = Fraction(minCoverage);
+    return route;
+}
+
+/// An engine with its pool; keeps the sends that are at work and the answers given.
+class ServeFleet {
+public:
+    explicit ServeFleet(std::vector<RoutePolicy> routes, unsigned maxConnections = 8, double coldRate = 0)
+        : pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {})
+        , engine(pool, metrics, CallLimits(), [this](const CallRecord& record) { reasons.emplace_back(record.reason); })
+    {
+        setRoutes(std::move(routes), maxConnections, 1, coldRate);
+    }
+
+    void setRoutes(std::vector<RoutePolicy> routes, unsigned maxConnections, std::uint64_t version, double coldRate = 0)
+    {
+        RoutingTable::Parts parts;
+        parts.version = ConfigurationVersion(version);
+        std::set<ServiceName> names;
+        for (const RoutePolicy& route : routes) {
+            names.insert(route.shards.begin(), route.shards.end());
+            for (const WeightedService& each : route.services)
+                names.insert(each.service);
+        }
+        for (const ServiceName& name : names)
+            parts.services.push_back({ name, "/health", maxConnections, coldRate });
+        parts.routes = std::move(routes);
+        engine.setRouting(std::make_shared<const RoutingTable>(std::move(parts)));
+    }
+
+    CallId ask(const std::string& host, Instant now, Duration patience = std::chrono::seconds(2))
+    {
+        auto request = std::make_shared<CallerRequest>();
+        request->id = "id" + std::to_string(++lastCall);
+        request->method = "GET";
+        request->target = "/q";
+        request->host = host;
+        request->patience = patience;
+        request->arrivedAt = now;
+        CallActions actions;
+        engine.begin(CallId(lastCall), request, now, actions);
+        take(actions);
+        return CallId(lastCall);
+    }
+
+    void reply(SendId send, const TargetReply& reply, Instant now)
+    {
+        sends.erase(send);
+        CallActions actions;
+        engine.ended(send, reply, now, actions);
+        take(actions);
+    }
+
+    void tick(Instant now)
+    {
+        CallActions actions;
+        engine.tick(now, actions);
+        take(actions);
+    }
+
+    void leave(CallId call, Instant now)
+    {
+        CallActions actions;
+        engine.callerLeft(call, now, actions);
+        take(actions);
+    }
+
+    void take(const CallActions& actions)
+    {
+        for (const auto& send : actions.sends) {
+            sends.emplace(send.send, send);
+            ++arrivals[send.target];
+        }
+        for (SendId send : actions.aborts) {
+            sends.erase(send);
+            ++aborts;
+        }
+        for (const auto& answer : actions.answers)
+            answers[answer.call] = answer.answer;
+    }
+
+    static TargetReply ok(const std::string& stamp, const std::string& body = "")
+    {
+        TargetReply reply;
+        reply.end = TargetReply::End::Answered;
+        reply.status = 200;
+        reply.stamp = stamp;
+        reply.body = body;
+        return reply;
+    }
+    static TargetReply refused()
+    {
+        TargetReply reply = ok("");
+        reply.status = 503;
+        reply.notRun = true;
+        return reply;
+    }
+    static TargetReply lost(TargetReply::End end = TargetReply::End::Lost)
+    {
+        TargetReply reply;
+        reply.end = end;
+        reply.cause = "test";
+        return reply;
+    }
+
+    Metrics metrics;
+    TargetPool pool;
+    std::vector<std::string> reasons;
+    CallEngine engine;
+    std::map<SendId, CallActions::Send> sends;
+    std::map<CallId, CallerAnswer> answers;
+    std::map<TargetName, int> arrivals;
+    int aborts = 0;
+    std::uint64_t lastCall = 0;
+};
+
+} // namespace pimentopoint
