--- a/Pimentopoint/src/Core/LineWriter.h
+++ b/Pimentopoint/src/Core/LineWriter.h
@@ -26,7 +26,7 @@
 
 private:
     /// About a second of lines at the highest rate of a host.
-    static constexpr std::size_t mostWaiting = 256 * 1024;
+    static constexpr std::size_t mostWaiting = std::size_t(256) * 1024;
 
     void flushLocked();
 
--- a/Pimentopoint/src/Net/CallerLink.cpp
+++ b/Pimentopoint/src/Net/CallerLink.cpp
@@ -16,9 +16,9 @@
 
 namespace {
 
-    constexpr std::size_t readBytes = 16 * 1024;
+    constexpr std::size_t readBytes = std::size_t(16) * 1024;
     /// Bytes read ahead of the request at work; beyond them the caller waits.
-    constexpr std::size_t mostReadAhead = 64 * 1024;
+    constexpr std::size_t mostReadAhead = std::size_t(64) * 1024;
     /// A caller that takes no byte of its answer for this long is gone; several round trips and repeats of a lost packet.
     constexpr Duration writeTimeout = std::chrono::seconds(10);
     /// For which a connection is read after its last answer, so that the answer isn't destroyed by a reset.
--- a/Pimentopoint/src/Net/HttpReader.cpp
+++ b/Pimentopoint/src/Net/HttpReader.cpp
@@ -13,8 +13,8 @@
 
     constexpr Duration silence = std::chrono::seconds(2);
     /// A page is about a megabyte; base64 and JSON add a half.
-    constexpr std::uint64_t mostBodyBytes = 16 * 1024 * 1024;
-    constexpr std::size_t readBytes = 16 * 1024;
+    constexpr std::uint64_t mostBodyBytes = std::uint64_t(16) * 1024 * 1024;
+    constexpr std::size_t readBytes = std::size_t(16) * 1024;
 
 } // namespace
 
--- a/Pimentopoint/src/Net/NewsFeed.cpp
+++ b/Pimentopoint/src/Net/NewsFeed.cpp
@@ -45,7 +45,7 @@
     , m_follower("", timing(m_options.newsTime), m_options.seed)
     , m_source(std::move(self))
     , m_server(context, clock, m_dialect, m_options.listen, mostReaders,
-          { [this](CallId call, std::shared_ptr<const CallerRequest> request) { this->request(call, *request); }, [this](CallId call) { m_waiting.erase(call); },
+          { [this](CallId call, const std::shared_ptr<const CallerRequest>& request) { this->request(call, *request); }, [this](CallId call) { m_waiting.erase(call); },
               [] { return CallerLimits(); } })
 {
 }
--- a/Pimentopoint/src/Net/TargetLink.cpp
+++ b/Pimentopoint/src/Net/TargetLink.cpp
@@ -23,9 +23,9 @@
     /// Part of the stated timeout that is used; the rest covers the way and the clock of the target.
     constexpr double keptUse = 0.8;
     /// Answers are records or documents of some kilobytes; more than this is not an answer.
-    constexpr std::uint64_t mostBodyBytes = 8 * 1024 * 1024;
-    constexpr std::uint32_t mostHeaderBytes = 32 * 1024;
-    constexpr std::size_t readBytes = 16 * 1024;
+    constexpr std::uint64_t mostBodyBytes = std::uint64_t(8) * 1024 * 1024;
+    constexpr std::uint32_t mostHeaderBytes = std::uint32_t(32) * 1024;
+    constexpr std::size_t readBytes = std::size_t(16) * 1024;
     constexpr unsigned misdirected = 421;
 
     bool reported(const http::fields& fields, const std::string& name)
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -92,15 +92,7 @@
     if (reply.end == TargetReply::End::NotSent) {
         --part.arrivals;
         retry(environment, index, now);
-    } else if (reply.end == TargetReply::End::Lost) {
-        part.mayHaveRun = true;
-        part.reply = std::move(reply);
-        retry(environment, index, now);
-    } else if (reply.notRun) {
-        part.refused = true;
-        part.reply = std::move(reply);
-        retry(environment, index, now);
-    } else if (success(reply.status)) {
+    } else if (reply.end == TargetReply::End::Answered && !reply.notRun && success(reply.status)) {
         part.done = true;
         part.reply = std::move(reply);
         m_wakeChanged = m_wakeChanged || enough(m_doneParts + 1) != enough(m_doneParts);
@@ -109,7 +101,7 @@
             environment.release(other, now);
         part.outstanding.clear();
     } else {
-        part.mayHaveRun = true;
+        part.mayHaveRun = part.mayHaveRun || !reply.notRun;
         part.reply = std::move(reply);
         retry(environment, index, now);
     }
--- a/Pimentopoint/src/Serve/CallRun.h
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -38,7 +38,6 @@
     bool done = false;
     bool failed = false;
     bool mayHaveRun = false;
-    bool refused = false; ///< Some target refused it.
     Instant sentAt {}; ///< Of the latest send.
     TargetReply reply;
 };
--- a/Pimentopoint/src/Serve/RoutePolicy.h
+++ b/Pimentopoint/src/Serve/RoutePolicy.h
@@ -44,8 +44,8 @@
 
 /// Limits on what a caller may send.
 struct CallerLimits {
-    std::size_t headerBytes = 16 * 1024;
-    std::size_t bodyBytes = 256 * 1024;
+    std::size_t headerBytes = std::size_t(16) * 1024;
+    std::size_t bodyBytes = std::size_t(256) * 1024;
     Duration headerTimeout = std::chrono::seconds(3);
     Duration idleTimeout = std::chrono::seconds(15);
 };
--- a/standins/StandinService.cpp
+++ b/standins/StandinService.cpp
@@ -14,7 +14,7 @@
     , m_name(std::move(name))
     , m_script(std::move(script))
     , m_server(context, clock, dialect, endpoint, mostConnections,
-          { [this](CallId call, std::shared_ptr<const CallerRequest> each) { request(call, each); }, [this](CallId) { ++m_left; }, [] { return CallerLimits(); } })
+          { [this](CallId call, const std::shared_ptr<const CallerRequest>& each) { request(call, each); }, [this](CallId) { ++m_left; }, [] { return CallerLimits(); } })
 {
 }
 
