--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -166,10 +166,10 @@
 
 void CallEngine::begin(CallId id, std::shared_ptr<const CallerRequest> request, Instant now, CallActions& actions)
 {
-    constexpr unsigned unavailable = 503;
     constexpr unsigned notFound = 404;
-    if (!m_routing) {
-        refuse(id, *request, unavailable, "the routes are not known yet", startupRetry, now, actions);
+    if (!m_open) {
+        m_timers.push({ now + m_limits.startHold, CallId(0), SendId(0) });
+        m_held.emplace_back(id, std::move(request));
         return;
     }
     std::string_view path(request->target);
@@ -193,6 +193,26 @@
         reschedule(id, call);
 }
 
+void CallEngine::open(Instant now, CallActions& actions)
+{
+    if (m_open || !m_routing)
+        return;
+    m_open = true;
+    auto held = std::exchange(m_held, {});
+    for (auto& [id, request] : held)
+        begin(id, std::move(request), now, actions);
+}
+
+void CallEngine::refuseHeld(Instant now, CallActions& actions)
+{
+    constexpr unsigned unavailable = 503;
+    while (!m_held.empty() && now >= m_held.front().second->arrivedAt + m_limits.startHold) {
+        auto [id, request] = std::move(m_held.front());
+        m_held.pop_front();
+        refuse(id, *request, unavailable, "the routes are not known yet", startupRetry, now, actions);
+    }
+}
+
 void CallEngine::noteWaiting(CallId id, const CallRun& run)
 {
     for (std::size_t i = 0; i < run.parts().size(); ++i) {
@@ -284,6 +304,7 @@
 
 void CallEngine::callerLeft(CallId id, Instant now, CallActions& actions)
 {
+    std::erase_if(m_held, [id](const auto& held) { return held.first == id; });
     auto found = m_calls.find(id);
     if (found == m_calls.end())
         return;
@@ -300,6 +321,7 @@
 
 void CallEngine::tick(Instant now, CallActions& actions)
 {
+    refuseHeld(now, actions);
     while (!m_timers.empty() && m_timers.top().at <= now) {
         Timer timer = m_timers.top();
         m_timers.pop();
@@ -330,6 +352,9 @@
 
 void CallEngine::expireAll(Instant now, CallActions& actions)
 {
+    constexpr unsigned unavailable = 503;
+    for (const auto& [id, request] : std::exchange(m_held, {}))
+        refuse(id, *request, unavailable, "the process stops", Duration(0), now, actions);
     std::vector<CallId> ids;
     for (auto& [id, call] : m_calls)
         ids.push_back(id);
--- a/Pimentopoint/src/Serve/CallEngine.h
+++ b/Pimentopoint/src/Serve/CallEngine.h
@@ -51,6 +51,7 @@
 struct CallLimits {
     Fraction extraShare { 0.17 }; ///< Repeats to first sends of a service; below the platform's bound by the spread of windows.
     double firstExtras = 2; ///< Repeats allowed at the start, a host.
+    Duration startHold = std::chrono::milliseconds(250); ///< For which a call waits for the first routes; reading them takes 30 to 100 ms.
     Duration releaseTime = std::chrono::milliseconds(300); ///< A send that nobody waits for may end within it; below the half second in which targets must be freed.
 };
 
@@ -67,7 +68,10 @@
     void setRouting(RoutingTablePointer routing);
     const RoutingTablePointer& routing() const { return m_routing; }
 
+    /// Begins a call; before open() it is held for a moment, as the routes of a process that starts come within that.
     void begin(CallId call, std::shared_ptr<const CallerRequest> request, Instant now, CallActions& actions);
+    /// The routes and the targets are known: begins what was held.
+    void open(Instant now, CallActions& actions);
     void ended(SendId send, TargetReply reply, Instant now, CallActions& actions);
     /// The caller closed its connection.
     void callerLeft(CallId call, Instant now, CallActions& actions);
@@ -105,6 +109,7 @@
     };
     class Environment;
 
+    void refuseHeld(Instant now, CallActions& actions);
     RouteState& routeState(const RouteName& name);
     ExtraSendBudget& budget(const ServiceName& service);
     ServiceName chooseService(const RoutePolicy& route);
@@ -122,6 +127,8 @@
     CallLimits m_limits;
     Recorder m_recorder;
     RoutingTablePointer m_routing;
+    bool m_open = false;
+    std::deque<std::pair<CallId, std::shared_ptr<const CallerRequest>>> m_held;
     std::unordered_map<CallId, Call> m_calls;
     std::unordered_map<SendId, SendState> m_sends;
     std::map<RouteName, std::unique_ptr<RouteState>> m_routes;
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -255,6 +255,11 @@
         apply(item);
     if (news.allKeys)
         retain(*news.allKeys);
+    if (!known())
+        return;
+    CallActions actions;
+    m_engine.open(m_clock.now(), actions);
+    perform(actions);
 }
 
 void EdgeHost::apply(const StoreItem& item)
--- a/test/CallTest.cpp
+++ b/test/CallTest.cpp
@@ -271,13 +271,38 @@
     auto request = std::make_shared<CallerRequest>();
     request->target = "/";
     engine.begin(CallId(1), request, millisecond(0), actions);
+    CHECK(actions.answers.empty());
+    engine.tick(millisecond(250), actions);
     REQUIRE(actions.answers.size() == 1);
     CHECK(actions.answers[0].answer.status == 503);
+    CHECK(actions.answers[0].answer.retryAfter > Duration(0));
     ServeFleet fleet({ singleRoute("one") });
     CallId call = fleet.ask("other.example", millisecond(0));
     CHECK(fleet.answers[call].status == 404);
 }
 
+TEST_CASE("a call that comes while a process starts is served once the routes are known")
+{
+    Metrics metrics;
+    TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
+    CallEngine engine(pool, metrics, CallLimits(), [](const CallRecord&) {});
+    CallActions actions;
+    auto request = std::make_shared<CallerRequest>();
+    request->host = "single.example";
+    request->target = "/";
+    request->patience = std::chrono::seconds(1);
+    engine.begin(CallId(1), request, millisecond(0), actions);
+    engine.begin(CallId(2), request, millisecond(0), actions);
+    engine.callerLeft(CallId(2), millisecond(10), actions);
+    RoutingTable::Parts parts;
+    parts.routes.push_back(singleRoute("one"));
+    engine.setRouting(std::make_shared<const RoutingTable>(std::move(parts)));
+    pool.put(targetOf("one", 1), millisecond(40));
+    engine.open(millisecond(40), actions);
+    CHECK(actions.answers.empty());
+    CHECK(actions.sends.size() == 1);
+}
+
 TEST_CASE("weighted services get their share of the requests")
 {
     RoutePolicy route = singleRoute("one");
--- a/test/ServeFakes.h
+++ b/test/ServeFakes.h
@@ -61,6 +61,8 @@
         , engine(pool, metrics, CallLimits(), [this](const CallRecord& record) { reasons.emplace_back(record.reason); })
     {
         setRoutes(std::move(routes), maxConnections, 1, coldRate);
+        CallActions none;
+        engine.open(Instant(), none);
     }
 
     void setRoutes(std::vector<RoutePolicy> routes, unsigned maxConnections, std::uint64_t version, double coldRate = 0)
