Bound repeats over all hosts: what is saved up follows requests and the slack

Cause: each host could save 10 repeats a service whatever the fleet's size; 60 hosts that see one service fail at once would repeat 1,100 times in a window where 656 are allowed. Change: a request earns 0.65 of the ratio; the rest of the ratio and 0.7 of the slack over all hosts may be saved up. Test: 'repeats of all hosts together ...' plays a calm time, a failing service and a restart of half; red with the fixed 10.

--- a/Pimentopoint/src/Caller/ExtraSendBudget.h
+++ b/Pimentopoint/src/Caller/ExtraSendBudget.h
@@ -18,11 +18,12 @@
     void earn(std::uint64_t count, Fraction share);
     /// \returns whether one more extra send is allowed, and if so charges it
     bool spend();
+    /// Sets the most credit that is saved up; one send at least.
+    void setMaxCredit(double credit);
 
 private:
-    static constexpr double maxCredit = 10;
-
     std::mutex m_mutex;
+    double m_maxCredit = 10;
     double m_credit = 0;
 };
 
--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -1,6 +1,7 @@
 #include "CallEngine.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pimentopoint {
 
@@ -14,6 +15,11 @@
     /// Expected time before the first reply, as a part of the objective.
     constexpr double firstGuess = 0.15;
     constexpr double meanRate = 0.02;
+    /// Part of the slack of repeats that all hosts together may save up; the rest covers hosts that count each other differently.
+    constexpr double savedSlack = 0.7;
+    /// Repeats that a process may make at once when it starts, but for a part of its share of the slack, if that is less.
+    constexpr double firstCredit = 1.5;
+    constexpr double firstSlack = 0.3;
     /// Multiple of the late time after which a send that is given up speaks against its target.
     constexpr int silentMultiple = 2;
     /// Until a process knows its routes: it reads them within a few round trips to the platform.
@@ -102,14 +108,21 @@
     return *state;
 }
 
-ExtraSendBudget& CallEngine::budget(const ServiceName& service)
+void CallEngine::earn(const ServiceName& service, Instant now)
 {
-    auto& budget = m_budgets[service];
-    if (!budget) {
-        budget = std::make_unique<ExtraSendBudget>();
-        budget->earn(1, Fraction(m_limits.firstExtras));
-    }
-    return *budget;
+    // Over all hosts and any window: repeats <= share x requests + what was saved, and the sum of what all hosts may save is
+    // (ratio - share) x requests + a part of the slack.
+    auto [at, fresh] = m_budgets.try_emplace(service);
+    Budget& budget = at->second;
+    double slack = m_limits.extraSlack / static_cast<double>(m_hosts);
+    double passed = std::chrono::duration<double>(now - budget.earnedAt) / std::chrono::duration<double>(m_limits.extraWindow);
+    budget.recentCalls = budget.recentCalls * std::exp(-passed) + 1;
+    budget.earnedAt = now;
+    double spare = m_limits.extraRatio.value() - m_limits.extraShare.value();
+    budget.credit.setMaxCredit(spare * budget.recentCalls + savedSlack * slack);
+    if (fresh)
+        budget.credit.earn(1, Fraction(std::min(firstCredit, firstSlack * slack)));
+    budget.credit.earn(1, m_limits.extraShare);
 }
 
 ServiceName CallEngine::chooseService(const RoutePolicy& route)
@@ -180,7 +193,7 @@
     }
     std::vector<ServiceName> services = route->fansOut() ? route->shards : std::vector<ServiceName> { chooseService(*route) };
     for (const ServiceName& service : services)
-        budget(service).earn(1, m_limits.extraShare);
+        earn(service, now);
     auto [at, fresh] = m_calls.try_emplace(id);
     Call& call = at->second;
     call.run = std::make_unique<CallRun>(std::move(request), m_routing, *route, std::move(services), lateAfter(*route), now);
--- a/Pimentopoint/src/Serve/CallEngine.h
+++ b/Pimentopoint/src/Serve/CallEngine.h
@@ -5,6 +5,7 @@
 #include "../Core/Metrics.h"
 #include "CallRun.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -49,8 +50,10 @@
 
 /// Limits of a CallEngine.
 struct CallLimits {
-    Fraction extraShare { 0.17 }; ///< Repeats to first sends of a service; below the platform's bound by the spread of windows.
-    double firstExtras = 2; ///< Repeats allowed at the start, a host.
+    Fraction extraRatio { 0.2 }; ///< Most repeats of a service as a part of its requests, all hosts together.
+    Fraction extraShare { 0.13 }; ///< What each request earns of it; the rest may be saved up.
+    double extraSlack = 0; ///< Repeats of a service beyond the share in a window, all hosts together.
+    Duration extraWindow = std::chrono::seconds(10); ///< The window in which repeats are counted.
     Duration startHold = std::chrono::milliseconds(250); ///< For which a call waits for the first routes; reading them takes 30 to 100 ms.
     Duration releaseTime = std::chrono::milliseconds(300); ///< A send that nobody waits for may end within it; below the half second in which targets must be freed.
 };
@@ -66,6 +69,8 @@
     CallEngine(TargetPool& pool, Metrics& metrics, CallLimits limits, Recorder recorder);
 
     void setRouting(RoutingTablePointer routing);
+    /// Sets how many hosts share what is allowed beyond the share of repeats.
+    void setHosts(std::size_t hosts) { m_hosts = std::max(m_hosts, hosts); }
     const RoutingTablePointer& routing() const { return m_routing; }
 
     /// Begins a call; before open() it is held for a moment, as the routes of a process that starts come within that.
@@ -111,7 +116,13 @@
 
     void refuseHeld(Instant now, CallActions& actions);
     RouteState& routeState(const RouteName& name);
-    ExtraSendBudget& budget(const ServiceName& service);
+    struct Budget {
+        ExtraSendBudget credit;
+        Instant earnedAt {};
+        double recentCalls = 0; ///< In about a window.
+    };
+    ExtraSendBudget& budget(const ServiceName& service) { return m_budgets[service].credit; }
+    void earn(const ServiceName& service, Instant now);
     ServiceName chooseService(const RoutePolicy& route);
     Duration lateAfter(const RoutePolicy& route) const;
     Duration expected(const RoutePolicy& route) const;
@@ -132,7 +143,8 @@
     std::unordered_map<CallId, Call> m_calls;
     std::unordered_map<SendId, SendState> m_sends;
     std::map<RouteName, std::unique_ptr<RouteState>> m_routes;
-    std::map<ServiceName, std::unique_ptr<ExtraSendBudget>> m_budgets;
+    std::map<ServiceName, Budget> m_budgets;
+    std::size_t m_hosts = 1; ///< The most that were seen: hosts that are out of sight may still send.
     std::map<ServiceName, std::deque<std::pair<CallId, std::size_t>>> m_waiting;
     struct Timer {
         Instant at;
--- a/Pimentopoint/src/Serve/HostSettings.cpp
+++ b/Pimentopoint/src/Serve/HostSettings.cpp
@@ -46,8 +46,9 @@
     }
     if (root.has("repeats")) {
         root.section("repeats", [&](internal::DocumentReader& repeats) {
-            repeats.allowKeys({ "ratio", "slack" });
+            repeats.allowKeys({ "ratio", "slack", "window" });
             settings.repeatRatio = repeats.real("ratio", 0, 1, settings.repeatRatio);
+            settings.repeatWindow = repeats.duration("window", shortest, longest, settings.repeatWindow);
             settings.repeatSlack = repeats.real("slack", 0, mostSlack, settings.repeatSlack);
         });
     }
--- a/Pimentopoint/src/Serve/HostSettings.h
+++ b/Pimentopoint/src/Serve/HostSettings.h
@@ -24,6 +24,7 @@
     Duration leavingTime = std::chrono::seconds(3); ///< For which a leaving target still answers.
     double repeatRatio = 0.2; ///< Most repeats of a service, all hosts together, as a part of its requests.
     double repeatSlack = 0; ///< Repeats beyond the ratio.
+    Duration repeatWindow = std::chrono::seconds(10); ///< In which repeats are counted.
     int logLevel = 0; ///< Least severity that is logged: 0 info, 1 warning, 2 error.
 
     /// \throws InvalidDocument with every problem in \a text
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -24,10 +24,8 @@
     constexpr Duration exitMargin = std::chrono::milliseconds(350);
     /// Sockets and files beside callers' connections: targets, platform, members, log.
     constexpr std::size_t ownDescriptors = 600;
-    /// Part of the slack of repeats that one start of a host may use: a fleet of twenty may restart twice within a window.
-    constexpr double slackShare = 1.0 / 40;
-    /// Part of the ratio of repeats that hosts use; the rest covers windows in which requests fall.
-    constexpr double ratioUse = 0.85;
+    /// Part of the ratio of repeats that each request earns: late sends are a twelfth of all on a calm day. The rest may be saved up.
+    constexpr double ratioUse = 0.65;
     /// Connections opened ahead of need in one tick; each holds a slot of its target for a moment and costs some tenths of a millisecond of core.
     constexpr std::size_t connectionsAhead = 2;
     constexpr unsigned readinessThreads = 2;
@@ -36,8 +34,10 @@
     CallLimits limitsFrom(const HostSettings& settings)
     {
         CallLimits limits;
-        limits.extraShare = Fraction(settings.repeatRatio * ratioUse);
-        limits.firstExtras = settings.repeatSlack * slackShare;
+        limits.extraRatio = Fraction(settings.repeatRatio);
+    limits.extraShare = Fraction(settings.repeatRatio * ratioUse);
+        limits.extraSlack = settings.repeatSlack;
+        limits.extraWindow = settings.repeatWindow;
         return limits;
     }
 
@@ -316,6 +316,7 @@
 {
     m_feed.setMembers(m_membership.members());
     m_pool.setHosts(m_membership.usableCount() + 1);
+    m_engine.setHosts(m_membership.usableCount() + 1);
     m_metrics.setGauge("pimentopoint_hosts", "", m_membership.usableCount() + 1);
 }
 
--- a/test/CallTest.cpp
+++ b/test/CallTest.cpp
@@ -215,10 +215,50 @@
     int sum = 0;
     for (const auto& [target, count] : fleet.arrivals)
         sum += count;
-    CHECK(sum - calls <= static_cast<int>(calls * CallLimits().extraShare.value() + CallLimits().firstExtras));
+    CHECK(sum - calls <= static_cast<int>(calls * CallLimits().extraShare.value()));
     CHECK(sum > calls);
 }
 
+TEST_CASE("repeats of all hosts together stay within share and slack in any window, also after a calm time and a restart of half")
+{
+    constexpr double ratio = 0.2;
+    constexpr int window = 10000;
+    for (std::size_t hosts : { 1U, 8U, 60U }) {
+        CallLimits limits;
+        limits.extraSlack = 56;
+        std::vector<int> requests;
+        std::vector<int> repeats;
+        for (std::size_t host = 0; host < hosts; ++host) {
+            auto fleet = std::make_unique<ServeFleet>(std::vector { singleRoute("one") }, 800, 0, limits);
+            int end = 40000;
+            for (int time = static_cast<int>(host); time < end; time += 200) {
+                // Calm for 20 s, then every request is lost; half of the hosts start anew at 25 s.
+                if (host % 2 && time >= 25000 && time < 25200)
+                    fleet = std::make_unique<ServeFleet>(std::vector { singleRoute("one") }, 800, 0, limits);
+                if (fleet->arrivals.empty()) {
+                    for (int i = 1; i <= 3; ++i)
+                        fleet->pool.put(targetOf("one", i), millisecond(time));
+                    fleet->engine.setHosts(hosts);
+                }
+                fleet->ask("single.example", millisecond(time));
+                requests.push_back(time);
+                int sends = 0;
+                while (!fleet->sends.empty()) {
+                    ++sends;
+                    fleet->reply(fleet->sends.begin()->first, time < 20000 ? ServeFleet::ok("x") : ServeFleet::lost(), millisecond(time));
+                }
+                repeats.insert(repeats.end(), static_cast<std::size_t>(std::max(0, sends - 1)), time);
+            }
+        }
+        auto within = [](const std::vector<int>& times, int from) { return std::count_if(times.begin(), times.end(), [from](int time) { return time >= from && time < from + window; }); };
+        for (int start = 0; start <= 30000; start += 250) {
+            INFO(hosts << " hosts, from " << start);
+            CHECK(static_cast<double>(within(repeats, start)) <= ratio * static_cast<double>(within(requests, start)) + limits.extraSlack);
+        }
+        CHECK_FALSE(repeats.empty());
+    }
+}
+
 TEST_CASE("a target's own failure goes back unchanged, with its signature")
 {
     RoutePolicy route = singleRoute("one");
--- a/test/ServeFakes.h
+++ b/test/ServeFakes.h
@@ -56,9 +56,9 @@
 /// An engine with its pool; keeps the sends that are at work and the answers given.
 class ServeFleet {
 public:
-    explicit ServeFleet(std::vector<RoutePolicy> routes, unsigned maxConnections = 8, double coldRate = 0)
+    explicit ServeFleet(std::vector<RoutePolicy> routes, unsigned maxConnections = 8, double coldRate = 0, CallLimits limits = CallLimits())
         : pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {})
-        , engine(pool, metrics, CallLimits(), [this](const CallRecord& record) { reasons.emplace_back(record.reason); })
+        , engine(pool, metrics, limits, [this](const CallRecord& record) { reasons.emplace_back(record.reason); })
     {
         setRoutes(std::move(routes), maxConnections, 1, coldRate);
         CallActions none;
