--- a/Pimentopoint/src/Net/NewsFeed.cpp
+++ b/Pimentopoint/src/Net/NewsFeed.cpp
@@ -11,6 +11,7 @@
     /// falls silent costs its readers the latter two and one read of the store.
     constexpr double storeWatchUse = 0.45;
     constexpr double storeSlackUse = 0.17;
+    constexpr double gatherUse = 0.1; ///< Between two watches after news: each call to the store has a price.
     constexpr double hostWatchUse = 0.25;
     constexpr double hostSlackUse = 0.12;
     /// After which what is known here may be old: a watch, its slack and a way.
@@ -31,6 +32,7 @@
         StoreTiming timing;
         timing.watchWait = scaled(newsTime, storeWatchUse);
         timing.watchSlack = scaled(newsTime, storeSlackUse);
+    timing.gatherTime = scaled(newsTime, gatherUse);
         return timing;
     }
 
