--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -26,13 +26,6 @@
     constexpr double coldRateUse = 1.0;
     /// Most that one reply counts for: a pause is many times the expected time and says nothing of the next reply.
     constexpr double mostSlowness = 8;
-    /// What is left of a host's room at a target that refuses, and what each reply in time gives back: a target that is full refuses
-    /// several hosts at once, and is full again only after many replies.
-    constexpr double roomAfterRefusal = 0.5;
-    constexpr double roomPerReply = 0.1;
-    /// Multiple of the score of a target that is busy from which another is not worth sending to: its answer would come later than a
-    /// free connection and the better answer together.
-    constexpr double worthWaiting = 3;
     /// Weight of one failure: a target that refuses half of its requests is known after two.
     constexpr double troubleRate = 0.5;
 
@@ -202,27 +195,21 @@
     const Group& group = found->second;
     State* best = nullptr;
     double bestScore = 0;
-    std::optional<double> bestBusy;
     for (State* candidate : group.targets) {
         State& state = *candidate;
         if (!mayLead(state, now) || std::find(tried.begin(), tried.end(), state.target.name) != tried.end())
             continue;
-        if (!coldAllows(group, state, now)) {
+        if (state.outstanding.size() >= group.connectionLimit || !coldAllows(group, state, now)) {
             shortage = Shortage::Busy;
             continue;
         }
         double value = score(state, now);
-        if (state.outstanding.size() >= limit(group, state)) {
-            shortage = Shortage::Busy;
-            bestBusy = bestBusy ? std::min(*bestBusy, value) : value;
-            continue;
-        }
         if (!best || value < bestScore) {
             best = &state;
             bestScore = value;
         }
     }
-    if (!best || (bestBusy && bestScore > worthWaiting * *bestBusy))
+    if (!best)
         return std::nullopt;
     shortage = Shortage::None;
     return Choice { best->target.name, best->target.endpoint, bestScore < stalledPenalty };
@@ -274,7 +261,6 @@
     } else if (reply.end != TargetReply::End::Answered) {
         fail(state, backoff, reply.cause, now);
     } else if (reply.notRun) {
-        state.room = std::max(1.0, std::min(state.room, static_cast<double>(state.outstanding.size() + 1)) * roomAfterRefusal);
         fail(state, m_timing.shedBackoff, "it refused a request", now);
     } else if (reply.status >= 500) {
         fail(state, m_timing.shedBackoff, "it failed a request", now);
@@ -286,7 +272,6 @@
         if (state.failures > 1)
             m_observer(name, "target-trusted", "it answered");
         state.failures = 0;
-        state.room = std::min(mostRoom, state.room + roomPerReply);
         state.avoidUntil = now;
     }
 }
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -5,7 +5,6 @@
 #include "RoutingTable.h"
 #include "TargetReply.h"
 
-#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -94,7 +93,6 @@
         double coldCredit = 0;
         Instant coldCreditAt {};
         std::size_t connections = 0; ///< That are open.
-        double room = mostRoom; ///< Requests that may be at work there from here; falls when it refuses, rises when it serves.
         std::vector<Outstanding> outstanding;
         double slowness = 1; ///< Time taken over time expected.
         double trouble = 0; ///< Share of failures, 0 to 1.
@@ -112,10 +110,6 @@
         double coldRequestsPerSecond = 0;
     };
 
-    /// More than any host may have at work at a target.
-    static constexpr double mostRoom = 1e6;
-
-    std::size_t limit(const Group& group, const State& state) const { return std::min(group.connectionLimit, static_cast<std::size_t>(state.room)); }
     static bool stalled(const State& state, Instant now);
     void fade(State& state, Instant now) const;
     void fail(State& state, Duration backoff, std::string_view why, Instant now);
