Open a lost connection ahead of need only after five seconds

Change: TargetPool waits 5 s after a connection was lost. Test: 'a connection that its target ended is not opened again at once'.

--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -291,11 +291,14 @@
     return found == m_targets.end() || stalled(found->second, now) || now < found->second.avoidUntil;
 }
 
-void TargetPool::setConnections(const TargetName& name, std::size_t open)
+void TargetPool::setConnections(const TargetName& name, std::size_t open, Instant now)
 {
     auto found = m_targets.find(name);
-    if (found != m_targets.end())
-        found->second.connections = open;
+    if (found == m_targets.end())
+        return;
+    if (open < found->second.connections)
+        found->second.openAfter = now + m_timing.reopenTime;
+    found->second.connections = open;
 }
 
 std::vector<TargetPool::Choice> TargetPool::unconnected(std::size_t most, Instant now)
@@ -304,7 +307,7 @@
     for (auto& [service, group] : m_groups) {
         if (!group.inUse)
             continue;
-        auto sound = [&](const State* state) { return mayLead(*state, now) && !state->leavingSince && now >= state->avoidUntil && now >= state->coldUntil; };
+        auto sound = [&](const State* state) { return mayLead(*state, now) && !state->leavingSince && now >= state->avoidUntil && now >= state->coldUntil && now >= state->openAfter; };
         auto home = [&](const State* state) { return state->target.dataCentre == m_home; };
         bool anyConnected = std::any_of(group.targets.begin(), group.targets.end(), [&](const State* state) { return sound(state) && state->connections; });
         for (State* state : group.targets) {
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -19,6 +19,7 @@
     Duration leavingUse = std::chrono::milliseconds(1500); ///< For which a leaving target serves where no other does; half of the time for which it still answers.
     Duration firstBackoff = std::chrono::milliseconds(100); ///< After a first failure: the shortest pause of a target seen in the field.
     Duration longestBackoff = std::chrono::seconds(2); ///< Longest time without a trial of a target that failed.
+    Duration reopenTime = std::chrono::seconds(5); ///< Until a lost connection is opened again ahead of need: its target may be at its limit, and idle timeouts are of this order.
     Duration shedBackoff = std::chrono::milliseconds(30); ///< After a refusal: a few service times.
     Duration leftMemory = std::chrono::seconds(30); ///< For which a target that left is kept, so that its return is recognized.
     Duration memory = std::chrono::seconds(3); ///< Time constant with which slowness is forgotten: a host of a large fleet sends to a target once a second.
@@ -68,8 +69,8 @@
     /// \returns whether \a name stands still or failed of late
     bool doubtful(const TargetName& name, Instant now) const;
 
-    /// Notes that a connection to \a name was opened, or \a open connections are left.
-    void setConnections(const TargetName& name, std::size_t open);
+    /// Notes that a connection to \a name was opened or lost, so that \a open are left.
+    void setConnections(const TargetName& name, std::size_t open, Instant now);
     /// \brief Chooses targets to open a connection to ahead of need: a new one costs the first request a round trip and a slot.
     /// \details Of each service in the routing table one target, at home if there is one; others while all hosts together stay far
     /// below the connections that a target accepts.
@@ -93,6 +94,7 @@
         double coldCredit = 0;
         Instant coldCreditAt {};
         std::size_t connections = 0; ///< That are open.
+        Instant openAfter {}; ///< Until then none is opened ahead of need.
         std::vector<Outstanding> outstanding;
         double slowness = 1; ///< Time taken over time expected.
         double trouble = 0; ///< Share of failures, 0 to 1.
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -78,7 +78,7 @@
               m_engine.ended(send, std::move(reply), m_clock.now(), actions);
               perform(actions);
           },
-          [this](const TargetName& target, std::size_t open) { m_pool.setConnections(target, open); })
+          [this](const TargetName& target, std::size_t open) { m_pool.setConnections(target, open, m_clock.now()); })
     , m_callers(m_context, m_clock, platform::headerDialect(), m_settings.callers, m_settings.descriptors - std::min(m_settings.descriptors / 2, ownDescriptors),
           { [this](CallId call, std::shared_ptr<const CallerRequest> request) {
                CallActions actions;
--- a/test/PoolTest.cpp
+++ b/test/PoolTest.cpp
@@ -195,7 +195,7 @@
         for (int i = 0; i < 5; ++i) {
             for (const auto& choice : fleet.pool.unconnected(1, millisecond(i))) {
                 opened.insert(choice.name);
-                fleet.pool.setConnections(choice.name, 1);
+                fleet.pool.setConnections(choice.name, 1, millisecond(i));
             }
         }
         CHECK(opened.contains(first));
@@ -203,6 +203,21 @@
     }
 }
 
+TEST_CASE("a connection that its target ended is not opened again at once")
+{
+    Pool fleet;
+    fleet.pool.put(targetOf("one", 1), millisecond(0));
+    REQUIRE(fleet.pool.unconnected(1, millisecond(0)).size() == 1);
+    fleet.pool.setConnections(first, 1, millisecond(0));
+    CHECK(fleet.pool.unconnected(1, millisecond(10)).empty());
+    fleet.pool.setConnections(first, 0, millisecond(20));
+    int opened = 0;
+    for (int time = 30; time < 5000; time += 100)
+        opened += static_cast<int>(fleet.pool.unconnected(1, millisecond(time)).size());
+    CHECK(opened == 0);
+    CHECK(fleet.pool.unconnected(1, millisecond(5020)).size() == 1);
+}
+
 TEST_CASE("routes match by host and longest prefix")
 {
     RoutingTable::Parts parts;
