--- a/Pimentopoint/src/Net/NewsFeed.cpp
+++ b/Pimentopoint/src/Net/NewsFeed.cpp
@@ -32,7 +32,7 @@
         StoreTiming timing;
         timing.watchWait = scaled(newsTime, storeWatchUse);
         timing.watchSlack = scaled(newsTime, storeSlackUse);
-    timing.gatherTime = scaled(newsTime, gatherUse);
+        timing.gatherTime = scaled(newsTime, gatherUse);
         return timing;
     }
 
--- a/cli/Main.cpp
+++ b/cli/Main.cpp
@@ -3,6 +3,7 @@
 #include "Commands.h"
 
 #include <Pimentopoint/Operator>
+#include <csignal>
 #include <docopt/docopt.h>
 #include <iostream>
 
@@ -115,6 +116,8 @@
 
 int main(int argc, char** argv)
 {
+    // Output into a closed pipe ends with an error of the write, not with a signal.
+    std::signal(SIGPIPE, SIG_IGN);
     try {
         return run(docopt::docopt_parse(usage, { argv + 1, argv + argc }, true, true));
     } catch (const docopt::DocoptExitHelp&) {
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -35,7 +35,7 @@
     {
         CallLimits limits;
         limits.extraRatio = Fraction(settings.repeatRatio);
-    limits.extraShare = Fraction(settings.repeatRatio * ratioUse);
+        limits.extraShare = Fraction(settings.repeatRatio * ratioUse);
         limits.extraSlack = settings.repeatSlack;
         limits.extraWindow = settings.repeatWindow;
         return limits;
