--- a/Pimentopoint/src/Serve/CallRun.h
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -14,16 +14,16 @@
 /// What a CallRun needs of its surroundings.
 struct CallEnvironment {
     virtual ~CallEnvironment() = default;
-    /// \brief Sends the call to a target of \a shard that is not in its list of tried ones.
-    /// \param extra whether the send draws on the budget of repeats
-    /// \returns nothing if it was sent
+    /// Why a send did not take place.
     enum class Obstacle : std::uint8_t {
-        None,
+        None, ///< It did.
         Busy, ///< Every target has all connections at work.
         Absent, ///< No target may be sent to.
         NoBudget, ///< Repeats have used up what is allowed.
     };
-    virtual Obstacle send(std::size_t shard, bool extra, Instant now) = 0;
+    /// \brief Sends the call to a target of part \a part that is not in its list of tried ones.
+    /// \param extra whether the send draws on the budget of repeats
+    virtual Obstacle send(std::size_t part, bool extra, Instant now) = 0;
     /// No answer of \a send is needed any more.
     virtual void release(SendId send, Instant now) = 0;
 };
--- a/Pimentopoint/src/Serve/StoreFollower.h
+++ b/Pimentopoint/src/Serve/StoreFollower.h
@@ -79,8 +79,6 @@
 
     /// \returns whether a full reading has ended once
     bool complete() const { return m_complete; }
-    /// \returns whether the latest read failed
-    bool failing() const { return m_failures > 0; }
     std::uint64_t revision() const { return m_revision; }
 
 private:
--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -285,12 +285,6 @@
     fail(state, std::min(m_timing.longestBackoff, m_timing.firstBackoff * (1U << std::min(state.failures, 5U))), "it did not answer", now);
 }
 
-bool TargetPool::doubtful(const TargetName& name, Instant now) const
-{
-    auto found = m_targets.find(name);
-    return found == m_targets.end() || stalled(found->second, now) || now < found->second.avoidUntil;
-}
-
 void TargetPool::setConnections(const TargetName& name, std::size_t open, Instant now)
 {
     auto found = m_targets.find(name);
@@ -333,10 +327,4 @@
     }
 }
 
-const DiscoveredTarget* TargetPool::find(const TargetName& name) const
-{
-    auto found = m_targets.find(name);
-    return found == m_targets.end() ? nullptr : &found->second.target;
-}
-
 } // namespace pimentopoint
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -66,8 +66,6 @@
     void ended(const TargetName& name, SendId send, const TargetReply& reply, Instant now);
     /// The send was given up; with \a silent, long after its answer was due.
     void abandoned(const TargetName& name, SendId send, bool silent, Instant now);
-    /// \returns whether \a name stands still or failed of late
-    bool doubtful(const TargetName& name, Instant now) const;
 
     /// Notes that a connection to \a name was opened or lost, so that \a open are left.
     void setConnections(const TargetName& name, std::size_t open, Instant now);
@@ -78,7 +76,6 @@
     /// Drops targets that left long ago.
     void forget(Instant now);
     std::size_t size() const { return m_targets.size(); }
-    const DiscoveredTarget* find(const TargetName& name) const;
 
 private:
     struct Outstanding {
--- a/daemons/Daemon.cpp
+++ b/daemons/Daemon.cpp
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <csignal>
 #include <curl/curl.h>
-#include <docopt/docopt.h>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -70,11 +69,10 @@
     return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count()));
 }
 
-int runDaemon(int argc, char** argv, const std::string& usage, const std::string& program, const std::function<void(const Settings&)>& run)
+std::variant<std::map<std::string, docopt::value>, int> parseArguments(int argc, char** argv, const std::string& usage, const std::string& program)
 {
-    std::map<std::string, docopt::value> arguments;
     try {
-        arguments = docopt::docopt_parse(usage, { argv + 1, argv + argc }, true, true);
+        return docopt::docopt_parse(usage, { argv + 1, argv + argc }, true, true);
     } catch (const docopt::DocoptExitHelp&) {
         std::cout << usage;
         return exitOk;
@@ -86,6 +84,14 @@
                   << usage;
         return exitUsage;
     }
+}
+
+int runDaemon(int argc, char** argv, const std::string& usage, const std::string& program, const std::function<void(const Settings&)>& run)
+{
+    auto parsed = parseArguments(argc, argv, usage, program);
+    if (const int* code = std::get_if<int>(&parsed))
+        return *code;
+    auto& arguments = std::get<0>(parsed);
     std::string path = arguments["--settings"].asString();
     std::ifstream file(path);
     if (!file) {
--- a/daemons/Daemon.h
+++ b/daemons/Daemon.h
@@ -5,9 +5,12 @@
 #include <Pimentopoint/Core>
 #include <Pimentopoint/Operator>
 #include <condition_variable>
+#include <docopt/docopt.h>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <string>
+#include <variant>
 
 namespace pimentopoint {
 
@@ -40,6 +43,10 @@
 /// \returns the incarnation of a process that starts now
 Incarnation newIncarnation();
 
+/// \brief Reads \a argv as \a usage says; prints help, version or what is wrong.
+/// \returns the arguments, or the code to exit with
+std::variant<std::map<std::string, docopt::value>, int> parseArguments(int argc, char** argv, const std::string& usage, const std::string& program);
+
 /// \brief Runs a daemon: reads arguments and settings, starts the log, calls \a run.
 /// \returns the exit code
 int runDaemon(int argc, char** argv, const std::string& usage, const std::string& program, const std::function<void(const Settings&)>& run);
--- a/daemons/Edge.cpp
+++ b/daemons/Edge.cpp
@@ -1,16 +1,14 @@
 /// \file
 /// The edge: meets callers on the platform's machines and sends to targets itself.
+#include "Daemon.h"
 #include "EdgeHost.h"
 
 #include <Pimentopoint/Operator>
 #include <csignal>
-#include <docopt/docopt.h>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
-#include "Daemon.h"
-
 using namespace pimentopoint;
 
 namespace {
@@ -66,20 +64,10 @@
 int main(int argc, char** argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    std::map<std::string, docopt::value> arguments;
-    try {
-        arguments = docopt::docopt_parse(usage, { argv + 1, argv + argc }, true, true);
-    } catch (const docopt::DocoptExitHelp&) {
-        std::cout << usage;
-        return exitOk;
-    } catch (const docopt::DocoptExitVersion&) {
-        std::cout << "pimentopoint-edge " << PIMENTOPOINT_VERSION << "\n";
-        return exitOk;
-    } catch (const docopt::DocoptArgumentError& error) {
-        std::cerr << error.what() << "\n"
-                  << usage;
-        return exitUsage;
-    }
+    auto parsed = parseArguments(argc, argv, usage, "pimentopoint-edge");
+    if (const int* code = std::get_if<int>(&parsed))
+        return *code;
+    auto& arguments = std::get<0>(parsed);
     std::string path = arguments["--settings"] ? arguments["--settings"].asString() : platform::settingsPath();
     return runEdge(path, arguments["--check"].asBool());
 }
