--- a/test/NewsTest.cpp
+++ b/test/NewsTest.cpp
@@ -102,7 +102,7 @@
         NewsSource source = sourceOf(self);
         bool storeAsked = false;
         source.failed({}, at(0));
-        for (int time = 100; time <= 600; time += 100) {
+        for (int time = 100; time <= 400; time += 100) {
             NewsSource::Choice choice = source.choose(at(time));
             storeAsked = storeAsked || !choice.host;
             source.failed(choice, at(time));
