Refuse readings from before what is known, and let the mirror say what is new

Cause: a host that knows everything may lose the store's history and read from another host, which gives everything however old it is; the older entries were applied over newer ones (a draining target ready again, an evacuation taken back) and the revision fell. Ruled out: the watch (changes are filtered by revision) and versions of routes (the larger one wins). Change: StoreFollower takes a reading older than its revision, or than its first page, for a failure; StoreMirror::take returns only items with a larger revision and explicit removals, so EdgeHost::retain and TargetPool::retain are gone. Tests: 'a full reading that is older ...', 'pages of one reading ...' (both red before), 'only what is new comes out of a mirror'.

--- a/Pimentopoint/src/Net/NewsFeed.cpp
+++ b/Pimentopoint/src/Net/NewsFeed.cpp
@@ -111,9 +111,9 @@
             { { "source", choice.host ? choice.host->text() : "store" }, { "cause", failed ? result.cause : "a read was answered" }, { "revision", m_follower.revision() } });
     }
     StoreNews news = m_follower.finish(std::move(result), now);
-    if (!failed && (!news.changes.empty() || news.allKeys))
-        m_hooks.news(news);
-    m_mirror.take(news, m_follower.revision(), now);
+    std::vector<StoreItem> fresh = m_mirror.take(news, m_follower.revision(), now);
+    if (!fresh.empty() || news.allKeys)
+        m_hooks.news(fresh);
     replyToWaiting(now);
     follow();
 }
--- a/Pimentopoint/src/Net/NewsFeed.h
+++ b/Pimentopoint/src/Net/NewsFeed.h
@@ -18,7 +18,7 @@
     struct Hooks {
         std::function<std::string(const StoreRead&)> storePath; ///< How the platform's store is asked.
         std::function<StoreResult(const StoreRead&, unsigned status, const std::string& body)> storeResult;
-        std::function<void(const StoreNews&)> news;
+        std::function<void(const std::vector<StoreItem>&)> news; ///< What is new, removals included; may be empty at the end of a reading.
     };
     struct Options {
         Endpoint store;
--- a/Pimentopoint/src/Serve/StoreFollower.cpp
+++ b/Pimentopoint/src/Serve/StoreFollower.cpp
@@ -64,9 +64,19 @@
     return news;
 }
 
+bool StoreFollower::goesBack(const StoreResult& result) const
+{
+    return result.kind == StoreResult::Kind::Items && result.asOf < std::max(m_revision, m_readAsOf);
+}
+
 StoreNews StoreFollower::finish(StoreResult result, Instant now)
 {
     m_running = false;
+    if (goesBack(result)) {
+        // Another host's reading from before ours: what it lacks is not gone.
+        restart();
+        result.kind = StoreResult::Kind::Failed;
+    }
     if (result.kind == StoreResult::Kind::Failed) {
         Duration longest = std::min(m_timing.longestRetry, m_timing.firstRetry * (1U << std::min(m_failures, 6U)));
         ++m_failures;
--- a/Pimentopoint/src/Serve/StoreFollower.h
+++ b/Pimentopoint/src/Serve/StoreFollower.h
@@ -84,6 +84,8 @@
 private:
     void restart();
     StoreNews takePage(StoreResult& result);
+    /// \returns whether \a result is a reading from before what is known, or from before the reading's first page
+    bool goesBack(const StoreResult& result) const;
 
     std::string m_prefix;
     StoreTiming m_timing;
--- a/Pimentopoint/src/Serve/StoreMirror.cpp
+++ b/Pimentopoint/src/Serve/StoreMirror.cpp
@@ -11,22 +11,28 @@
 
 } // namespace
 
-void StoreMirror::take(const StoreNews& news, std::uint64_t asOf, Instant now)
+std::vector<StoreItem> StoreMirror::take(const StoreNews& news, std::uint64_t asOf, Instant now)
 {
+    std::vector<StoreItem> fresh;
     for (const StoreItem& item : news.changes) {
-        Entry& entry = m_entries[item.key];
-        if (item.revision >= entry.revision)
-            entry = { item.value, item.revision, item.removed, now };
+        auto [at, added] = m_entries.try_emplace(item.key);
+        if (!added && item.revision <= at->second.revision)
+            continue;
+        at->second = { item.value, item.revision, item.removed, now };
+        fresh.push_back(item);
     }
     if (news.allKeys) {
         for (auto& [key, entry] : m_entries) {
-            if (!entry.removed && !news.allKeys->contains(key) && entry.revision <= asOf)
-                entry = { {}, asOf, true, now };
+            if (entry.removed || news.allKeys->contains(key) || entry.revision > asOf)
+                continue;
+            entry = { {}, asOf, true, now };
+            fresh.push_back({ key, {}, asOf, true });
         }
         if (!m_knownSince)
             m_knownSince = asOf;
     }
     m_revision = std::max(m_revision, asOf);
+    return fresh;
 }
 
 StoreResult StoreMirror::answer(const StoreRead& read) const
--- a/Pimentopoint/src/Serve/StoreMirror.h
+++ b/Pimentopoint/src/Serve/StoreMirror.h
@@ -13,7 +13,8 @@
 /// while; who asks for changes from before that has to read everything.
 class StoreMirror {
 public:
-    void take(const StoreNews& news, std::uint64_t asOf, Instant now);
+    /// \returns what is new here: items with a larger revision than the one known, and what a full reading no longer has
+    std::vector<StoreItem> take(const StoreNews& news, std::uint64_t asOf, Instant now);
 
     /// \returns whether everything was read once
     bool complete() const { return m_knownSince.has_value(); }
--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -77,14 +77,6 @@
     m_observer(name, "target-leaving", "its entry is gone");
 }
 
-void TargetPool::retain(const std::set<TargetName>& names, Instant now)
-{
-    for (auto& [name, state] : m_targets) {
-        if (!names.contains(name))
-            remove(name, now);
-    }
-}
-
 bool TargetPool::stalled(const State& state, Instant now)
 {
     return std::any_of(state.outstanding.begin(), state.outstanding.end(), [now](const Outstanding& o) { return now - o.sentAt > o.late; });
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -51,8 +51,6 @@
 
     void put(const DiscoveredTarget& target, Instant now);
     void remove(const TargetName& name, Instant now);
-    /// Forgets targets that are not in \a names, as after a new full reading.
-    void retain(const std::set<TargetName>& names, Instant now);
     /// Sets the data centres whose targets get nothing.
     void setExcluded(std::set<DataCentreName> excluded) { m_excluded = std::move(excluded); }
     void setRouting(RoutingTablePointer routing);
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -94,7 +94,7 @@
     , m_membership(selfRecord(m_settings), m_settings.seeds, MembershipTiming(), seedOf(m_settings, "members"))
     , m_members(m_context, m_clock, m_settings.members, m_membership, [this] { countHosts(); })
     , m_feed(m_context, m_clock, m_metrics, m_membership.self(), { m_settings.platform, m_settings.members, m_settings.newsTime, seedOf(m_settings, "news") },
-          { platform::storePath, platform::storeResult, [this](const StoreNews& news) { takeNews(news); } })
+          { platform::storePath, platform::storeResult, [this](const std::vector<StoreItem>& items) { takeNews(items); } })
 {
     m_readiness = std::make_unique<HttpServer>(m_settings.readiness, readinessThreads, readinessBodyBytes, [this](const HttpRequest& request) -> HttpResponse {
         if (request.path == platform::headerDialect().readinessPath)
@@ -249,12 +249,10 @@
     armTimer();
 }
 
-void EdgeHost::takeNews(const StoreNews& news)
+void EdgeHost::takeNews(const std::vector<StoreItem>& items)
 {
-    for (const StoreItem& item : news.changes)
+    for (const StoreItem& item : items)
         apply(item);
-    if (news.allKeys)
-        retain(*news.allKeys);
     if (!known())
         return;
     CallActions actions;
@@ -297,21 +295,6 @@
     m_engine.setRouting(std::make_shared<const RoutingTable>(std::move(parts)));
 }
 
-void EdgeHost::retain(const std::set<std::string>& keys)
-{
-    std::set<TargetName> targets;
-    std::set<DataCentreName> excluded;
-    for (const std::string& key : keys) {
-        if (auto name = platform::targetOfKey(key))
-            targets.insert(*name);
-        if (auto dataCentre = platform::evacuatedByKey(key))
-            excluded.insert(*dataCentre);
-    }
-    m_excluded = excluded;
-    m_pool.setExcluded(m_excluded);
-    m_pool.retain(targets, m_clock.now());
-}
-
 void EdgeHost::countHosts()
 {
     m_feed.setMembers(m_membership.members());
--- a/daemons/EdgeHost.h
+++ b/daemons/EdgeHost.h
@@ -38,10 +38,9 @@
     void tick();
     void armTimer();
     void perform(CallActions& actions);
-    void takeNews(const StoreNews& news);
+    void takeNews(const std::vector<StoreItem>& items);
     void apply(const StoreItem& item);
     void takeRouting(RoutingTable::Parts parts);
-    void retain(const std::set<std::string>& keys);
     void countHosts();
     void record(const CallRecord& record);
     bool known() const;
--- a/test/NewsTest.cpp
+++ b/test/NewsTest.cpp
@@ -180,6 +180,40 @@
     CHECK(follower.revision() == 14);
 }
 
+TEST_CASE("a full reading that is older than what is known here is a failure and changes nothing")
+{
+    StoreFollower follower("", timing(), 1);
+    follower.begin(at(0));
+    follower.finish(items({ item("a", 3) }, 20), at(0));
+    follower.begin(at(0));
+    StoreResult lost;
+    lost.kind = StoreResult::Kind::HistoryLost;
+    follower.finish(lost, at(1));
+    // Another host answers from before our last reading; it lacks what came since.
+    follower.begin(at(1));
+    StoreNews news = follower.finish(items({ item("a", 2) }, 15), at(2));
+    CHECK(news.changes.empty());
+    CHECK_FALSE(news.allKeys);
+    CHECK(follower.revision() == 20);
+    auto due = follower.due();
+    REQUIRE(due);
+    auto again = follower.begin(*due);
+    REQUIRE(again);
+    CHECK(again->kind == StoreRead::Kind::Page);
+}
+
+TEST_CASE("pages of one reading never come from a source that is older than the first page")
+{
+    StoreFollower follower("", timing(), 1);
+    follower.begin(at(0));
+    follower.finish(items({ item("a", 3) }, 20, true), at(0));
+    follower.begin(at(0));
+    StoreNews news = follower.finish(items({ item("a", 2), item("b", 4) }, 15), at(1));
+    CHECK(news.changes.empty());
+    CHECK_FALSE(news.allKeys);
+    CHECK_FALSE(follower.complete());
+}
+
 TEST_CASE("a mirror answers reads as the store would")
 {
     StoreMirror mirror;
@@ -209,6 +243,27 @@
     CHECK(mirror.answer(watch).kind == StoreResult::Kind::HistoryLost);
 }
 
+TEST_CASE("only what is new comes out of a mirror, whatever comes twice or late")
+{
+    StoreMirror mirror;
+    StoreNews all;
+    all.changes = { item("a", 3), item("b", 4) };
+    all.allKeys = std::set<std::string> { "a", "b" };
+    CHECK(mirror.take(all, 10, at(0)).size() == 2);
+    CHECK(mirror.take(all, 10, at(1)).empty());
+    StoreNews late;
+    late.changes = { item("a", 2, "older") };
+    CHECK(mirror.take(late, 11, at(2)).empty());
+    StoreNews again;
+    again.changes = { item("b", 4), item("c", 12) };
+    again.allKeys = std::set<std::string> { "b", "c" };
+    std::vector<StoreItem> fresh = mirror.take(again, 12, at(3));
+    REQUIRE(fresh.size() == 2);
+    CHECK(fresh[0].key == "c");
+    CHECK(fresh[1].key == "a");
+    CHECK(fresh[1].removed);
+}
+
 TEST_CASE("what a new full reading leaves out is removed for the readers of a mirror")
 {
     StoreMirror mirror;
