Count the end of each connection to a target once

Cause: an attempt that was given up in the turn in which it timed out told its end twice; the count of open connections became 2^64 - 1, so the target never got a connection ahead again and no penalty for a new one. A socket that could not be opened ahead of need told no end. Owner and link both closed and counted. Found by reading. Ruled out: other double ends (a link's handlers end when it is closed). Change: TargetLink::close tells its end once; TargetLinks only listens. closeAll, which only tests called, is gone.

--- a/Pimentopoint/src/Net/TargetLink.cpp
+++ b/Pimentopoint/src/Net/TargetLink.cpp
@@ -76,7 +76,7 @@
     m_socket.open(endpoint.protocol(), error);
     if (error) {
         // No descriptor is left. Ends in a later turn, so that start() never calls back.
-        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(TargetReply::End::NotSent, "no socket could be opened"); });
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->giveUp("no socket could be opened"); });
         return;
     }
     setUpSocket(m_socket, silence, false);
@@ -87,7 +87,7 @@
     });
     m_socket.async_connect(endpoint, [self = shared_from_this()](const boost::system::error_code& failed) {
         self->m_timer.cancel();
-        if (!self->m_socket.is_open())
+        if (self->m_closed)
             return;
         if (failed) {
             self->giveUp("the connection was refused");
@@ -102,18 +102,16 @@
             return;
         }
         self->m_freshUntil = self->m_clock.now() + defaultKept;
-        self->m_hooks.idle(self, true);
+        self->m_hooks.free(self);
     });
 }
 
 void TargetLink::giveUp(const char* cause)
 {
-    if (m_send) {
+    if (m_send)
         fail(TargetReply::End::NotSent, cause);
-        return;
-    }
-    close();
-    m_hooks.idle(shared_from_this(), false);
+    else
+        close();
 }
 
 void TargetLink::write()
@@ -162,7 +160,7 @@
 void TargetLink::read()
 {
     m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code& error) {
-        if (self->m_socket.is_open())
+        if (!self->m_closed)
             self->received(error);
     });
 }
@@ -179,7 +177,6 @@
     if (!m_send) {
         // The target closes an idle connection, or sends what belongs to no request.
         close();
-        m_hooks.idle(shared_from_this(), false);
         return;
     }
     if (error == asio::error::eof) {
@@ -191,7 +188,7 @@
         return;
     }
     parse({ bytes.data(), size }, false);
-    if (m_socket.is_open())
+    if (!m_closed)
         read();
 }
 
@@ -295,10 +292,11 @@
     m_send.reset();
     m_parser.reset();
     m_in.clear();
-    if (!reusable)
-        close();
     auto self = shared_from_this();
-    m_hooks.idle(self, reusable);
+    if (reusable)
+        m_hooks.free(self);
+    else
+        close();
     m_hooks.ended(id, std::move(reply));
 }
 
@@ -306,14 +304,17 @@
 {
     m_send.reset();
     close();
-    m_hooks.idle(shared_from_this(), false);
 }
 
 void TargetLink::close()
 {
+    if (m_closed)
+        return;
+    m_closed = true;
     boost::system::error_code ignored;
     m_timer.cancel();
     m_socket.close(ignored);
+    m_hooks.closed(shared_from_this());
 }
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Net/TargetLink.h
+++ b/Pimentopoint/src/Net/TargetLink.h
@@ -21,8 +21,8 @@
 public:
     struct Hooks {
         std::function<void(SendId, TargetReply)> ended;
-        /// The link is free, or gone for good.
-        std::function<void(const std::shared_ptr<TargetLink>&, bool usable)> idle;
+        std::function<void(const std::shared_ptr<TargetLink>&)> free; ///< The link can take a request.
+        std::function<void(const std::shared_ptr<TargetLink>&)> closed; ///< Once for each link, however it ends.
     };
 
     TargetLink(boost::asio::io_context& context, const Clock& clock, const HeaderDialect& dialect, Endpoint endpoint, Hooks hooks);
@@ -33,9 +33,10 @@
     void start(const CallActions::Send& send);
     /// Ends the exchange without a reply and closes the connection.
     void abort();
+    /// Closes the connection; nothing happens the second time.
     void close();
     /// \returns whether the target may still hold the connection open at \a now
-    bool fresh(Instant now) const { return m_socket.is_open() && now < m_freshUntil; }
+    bool fresh(Instant now) const { return !m_closed && now < m_freshUntil; }
     const Endpoint& endpoint() const { return m_endpoint; }
     /// \returns the target that the link was opened for
     const TargetName& target() const { return m_target; }
@@ -66,6 +67,7 @@
     std::string m_out;
     bool m_written = false;
     bool m_connected = false;
+    bool m_closed = false;
     bool m_anySent = false;
     std::string m_in; ///< Bytes that the parser has not taken.
     std::optional<Parser> m_parser;
--- a/Pimentopoint/src/Net/TargetLinks.cpp
+++ b/Pimentopoint/src/Net/TargetLinks.cpp
@@ -1,6 +1,7 @@
 #include "TargetLinks.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace pimentopoint {
 
@@ -21,48 +22,50 @@
     while (!idle.empty() && !link) {
         Pointer last = idle.back();
         idle.pop_back();
-        if (last->endpoint() == send.endpoint && last->fresh(m_clock.now())) {
+        if (last->endpoint() == send.endpoint && last->fresh(m_clock.now()))
             link = last;
-        } else {
+        else
             last->close();
-            count(send.target, -1);
-        }
-    }
-    if (!link) {
-        link = make(send.endpoint);
-        count(send.target, 1);
     }
+    if (!link)
+        link = make(send.target, send.endpoint);
     m_busy.emplace(send.send, link);
     link->start(send);
 }
 
 void TargetLinks::open(const TargetName& target, const Endpoint& endpoint)
 {
-    Pointer link = make(endpoint);
-    count(target, 1);
-    link->open(target);
+    make(target, endpoint)->open(target);
 }
 
-TargetLinks::Pointer TargetLinks::make(const Endpoint& endpoint)
+TargetLinks::Pointer TargetLinks::make(const TargetName& target, const Endpoint& endpoint)
 {
     m_metrics.add("pimentopoint_target_connections_total", "");
     TargetLink::Hooks hooks;
-    hooks.idle = [this](const Pointer& freed, bool usable) { this->idle(freed, usable); };
+    hooks.free = [this](const Pointer& link) { m_idle[link->target()].push_back(link); };
+    hooks.closed = [this](const Pointer& link) { closed(link); };
     hooks.ended = [this](SendId id, TargetReply reply) {
         m_busy.erase(id);
         m_ended(id, std::move(reply));
     };
+    setOpen(target, m_open[target] + 1);
     return std::make_shared<TargetLink>(m_context, m_clock, m_dialect, endpoint, std::move(hooks));
 }
 
-void TargetLinks::count(const TargetName& target, int change)
+void TargetLinks::closed(const Pointer& link)
+{
+    auto idle = m_idle.find(link->target());
+    if (idle != m_idle.end())
+        std::erase(idle->second, link);
+    setOpen(link->target(), m_open[link->target()] - 1);
+}
+
+void TargetLinks::setOpen(const TargetName& target, std::size_t open)
 {
-    std::size_t& open = m_open[target];
-    open += static_cast<std::size_t>(change);
-    std::size_t left = open;
-    if (!left)
+    m_open[target] = open;
+    if (!open)
         m_open.erase(target);
-    m_changed(target, left);
+    m_changed(target, open);
 }
 
 void TargetLinks::abort(SendId send)
@@ -75,40 +78,14 @@
     link->abort();
 }
 
-void TargetLinks::idle(const Pointer& link, bool usable)
-{
-    auto& idle = m_idle[link->target()];
-    std::erase(idle, link);
-    if (usable)
-        idle.push_back(link);
-    else
-        count(link->target(), -1);
-}
-
 void TargetLinks::sweep(Instant now)
 {
-    for (auto& [target, links] : m_idle) {
-        std::erase_if(links, [&](const Pointer& link) {
-            if (link->fresh(now))
-                return false;
-            link->close();
-            count(link->target(), -1);
-            return true;
-        });
-    }
-    std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
-}
-
-void TargetLinks::closeAll()
-{
-    for (auto& [id, link] : m_busy)
+    std::vector<Pointer> stale;
+    for (const auto& [target, links] : m_idle)
+        std::copy_if(links.begin(), links.end(), std::back_inserter(stale), [now](const Pointer& link) { return !link->fresh(now); });
+    for (const Pointer& link : stale)
         link->close();
-    for (auto& [target, links] : m_idle) {
-        for (const Pointer& link : links)
-            link->close();
-    }
-    m_busy.clear();
-    m_idle.clear();
+    std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
 }
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Net/TargetLinks.h
+++ b/Pimentopoint/src/Net/TargetLinks.h
@@ -25,14 +25,13 @@
     void abort(SendId send);
     /// Closes idle connections that their targets no longer keep.
     void sweep(Instant now);
-    void closeAll();
 
 private:
     using Pointer = std::shared_ptr<TargetLink>;
 
-    Pointer make(const Endpoint& endpoint);
-    void idle(const Pointer& link, bool usable);
-    void count(const TargetName& target, int change);
+    Pointer make(const TargetName& target, const Endpoint& endpoint);
+    void closed(const Pointer& link);
+    void setOpen(const TargetName& target, std::size_t open);
 
     boost::asio::io_context& m_context;
     const Clock& m_clock;
--- a/test/EdgeTest.cpp
+++ b/test/EdgeTest.cpp
@@ -130,7 +130,6 @@
         CHECK(reply->end == each.end);
         if (each.end == End::Answered)
             CHECK(reply->body == "ok");
-        links.closeAll();
     }
 }
 
@@ -148,7 +147,6 @@
         REQUIRE(loop.until([&] { return replies == 1; }));
         CHECK(loop.until([&] { return open == (extra ? 0 : 1); }));
         CHECK(replies == 1);
-        links.closeAll();
     }
 }
 
@@ -163,6 +161,75 @@
     CHECK(reply->end == TargetReply::End::NotSent);
 }
 
+TEST_CASE("each connection to a target is counted once when it opens and once when it ends, however it ends")
+{
+    struct Case {
+        const char* name;
+        bool listening;
+        bool ahead; ///< Opened ahead of need, not by a send.
+        bool aborted; ///< Before anything came back.
+    };
+    const Case cases[] = { { "refused, by a send", false, false, false }, { "refused, ahead", false, true, false }, { "refused after an abort", false, false, true },
+        { "aborted at work", true, false, true }, { "answered and kept", true, false, false }, { "kept ahead", true, true, false } };
+    for (const Case& each : cases) {
+        INFO(each.name);
+        Loop loop;
+        std::uint16_t port = freePort();
+        std::optional<RawServer> server;
+        if (each.listening)
+            server.emplace(loop, port, answerText("Content-Length: 2\r\n", "ok"), RawServer::Then::Stay);
+        std::vector<std::size_t> counts;
+        TargetLinks links(
+            loop.context, loop.clock, platform::headerDialect(), loop.metrics, [](SendId, const TargetReply&) {}, [&](const TargetName&, std::size_t open) { counts.push_back(open); });
+        if (each.ahead)
+            links.open(TargetName("t"), Endpoint(loopback, port));
+        else
+            links.send(sendTo(Endpoint(loopback, port), loop.clock));
+        if (each.aborted)
+            links.abort(SendId(1));
+        // Longer than a connection attempt may take.
+        loop.context.run_for(std::chrono::milliseconds(500));
+        bool kept = each.listening && !each.aborted;
+        std::vector<std::size_t> wanted = kept ? std::vector<std::size_t> { 1 } : std::vector<std::size_t> { 1, 0 };
+        CHECK(counts == wanted);
+        // An idle connection that is no longer fresh ends once as well.
+        links.sweep(loop.clock.now() + std::chrono::minutes(1));
+        links.sweep(loop.clock.now() + std::chrono::minutes(1));
+        CHECK(counts == std::vector<std::size_t> { 1, 0 });
+    }
+}
+
+TEST_CASE("a connection attempt that is given up in the same turn as it times out ends once")
+{
+    Loop loop;
+    std::uint16_t port = freePort();
+    using boost::asio::ip::tcp;
+    // Nobody accepts here, and the queue is full: further attempts hang.
+    tcp::acceptor acceptor(loop.context);
+    tcp::endpoint endpoint(boost::asio::ip::make_address_v4(loopback), port);
+    acceptor.open(tcp::v4());
+    acceptor.bind(endpoint);
+    acceptor.listen(0);
+    std::vector<tcp::socket> fillers;
+    for (int i = 0; i < 4; ++i) {
+        fillers.emplace_back(loop.context);
+        fillers.back().async_connect(endpoint, [](const boost::system::error_code&) {});
+    }
+    loop.context.run_for(std::chrono::milliseconds(50));
+    std::vector<std::size_t> counts;
+    TargetLinks links(
+        loop.context, loop.clock, platform::headerDialect(), loop.metrics, [](SendId, const TargetReply&) {}, [&](const TargetName&, std::size_t open) { counts.push_back(open); });
+    links.send(sendTo(Endpoint(loopback, port), loop.clock, 1));
+    links.send(sendTo(Endpoint(loopback, port), loop.clock, 2));
+    loop.context.poll();
+    // Both attempts time out while nothing runs; the first one's end is handled, the second one's is due.
+    std::this_thread::sleep_for(std::chrono::milliseconds(450));
+    loop.context.poll_one();
+    links.abort(SendId(2));
+    loop.context.run_for(std::chrono::milliseconds(50));
+    CHECK(counts == std::vector<std::size_t> { 1, 2, 1, 0 });
+}
+
 TEST_CASE("an edge serves, notices a caller who leaves, and stops without cutting a request")
 {
     Loop loop;
