Repeat only what speaks of the target, and say truthfully why a call ended

Cause: (1) a target's 404 or 400 was asked for again at another target and charged to the budget of repeats; (2) a call held at a start could be refused after its caller's deadline, left no line when its caller went, and a call given up by a stop was logged as 'no answer before the deadline'. Found by reading. Ruled out: 408 and 429 (they speak of the target; repeated as before). Change: CallRun repeats lost sends, stated refusals, 5xx, 408 and 429; a call is held for half of its patience at most; expireAll names the stop; one CallRun::fail, waitEnd and Core's scaled() replace three copies each; SendState loses two fields that nobody read. Tests: 'a target's answer that says no by itself ...', 'a call that waits while a process starts ...', 'a process that stops says so ...' (all red before).

--- a/Pimentopoint/src/Core/Clock.h
+++ b/Pimentopoint/src/Core/Clock.h
@@ -17,6 +17,12 @@
 
 using Instant = MonotonicTimeScale::time_point;
 
+/// \returns \a factor times \a duration
+constexpr Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 /// \class Clock
 /// \ingroup Core
 /// \brief Source of the monotonic time of this process.
--- a/Pimentopoint/src/Net/NewsFeed.cpp
+++ b/Pimentopoint/src/Net/NewsFeed.cpp
@@ -22,11 +22,6 @@
     constexpr unsigned badRequest = 400;
     constexpr Duration retryAfter = std::chrono::seconds(1);
 
-    Duration scaled(Duration duration, double factor)
-    {
-        return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-    }
-
     StoreTiming timing(Duration newsTime)
     {
         StoreTiming timing;
--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -22,14 +22,10 @@
     constexpr double firstSlack = 0.3;
     /// Multiple of the late time after which a send that is given up speaks against its target.
     constexpr int silentMultiple = 2;
+    constexpr unsigned unavailable = 503;
     /// Until a process knows its routes: it reads them within a few round trips to the platform.
     constexpr Duration startupRetry = std::chrono::milliseconds(200);
 
-    Duration scaled(Duration duration, double factor)
-    {
-        return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-    }
-
     constexpr std::string_view statusLabels[] = { "", "status=\"1xx\"", "status=\"2xx\"", "status=\"3xx\"", "status=\"4xx\"", "status=\"5xx\"" };
 
 } // namespace
@@ -58,7 +54,7 @@
             return Obstacle::NoBudget;
         SendId id(++m_engine.m_lastSend);
         Duration late = m_run.lateAfter();
-        m_engine.m_sends.emplace(id, SendState { m_id, index, choice->name, part.service, m_run.route().name, now, late, extra });
+        m_engine.m_sends.emplace(id, SendState { m_id, index, choice->name, part.service, m_run.route().name, now, late });
         m_engine.m_pool.sent(choice->name, id, m_engine.expected(m_run.route()), late, now);
         m_actions.sends.push_back({ id, choice->name, choice->endpoint, m_run.requestPointer(), m_run.deadline(), !m_run.route().fansOut() });
         part.tried.push_back(choice->name);
@@ -75,8 +71,7 @@
         if (found == m_engine.m_sends.end())
             return;
         found->second.released = true;
-        found->second.releaseEnd = now + m_engine.m_limits.releaseTime;
-        m_engine.m_timers.push({ found->second.releaseEnd, CallId(0), send });
+        m_engine.m_timers.push({ now + m_engine.m_limits.releaseTime, CallId(0), send });
     }
 
 private:
@@ -174,15 +169,23 @@
     answer.retryAfter = retryAfter;
     actions.answers.push_back({ call, answer });
     m_metrics.add("pimentopoint_refusals_total", "");
-    m_recorder({ request, "", m_routing ? m_routing->version() : ConfigurationVersion(0), status, reason, now - request.arrivedAt, 0, 0, "", Duration(0) });
+    record(request, status, reason, now);
+}
+
+void CallEngine::record(const CallerRequest& request, unsigned status, const char* reason, Instant now)
+{
+    ConfigurationVersion version = m_routing ? m_routing->version() : ConfigurationVersion(0);
+    m_recorder({ request, "", version, status, reason, now - request.arrivedAt, 0, 0, "", Duration(0) });
 }
 
 void CallEngine::begin(CallId id, std::shared_ptr<const CallerRequest> request, Instant now, CallActions& actions)
 {
     constexpr unsigned notFound = 404;
     if (!m_open) {
-        m_timers.push({ now + m_limits.startHold, CallId(0), SendId(0) });
-        m_held.emplace_back(id, std::move(request));
+        // Half of a short patience is left for another try elsewhere.
+        Instant until = request->arrivedAt + std::min(m_limits.startHold, request->patience / 2);
+        m_timers.push({ until, CallId(0), SendId(0) });
+        m_held.push_back({ id, std::move(request), until });
         return;
     }
     std::string_view path(request->target);
@@ -212,18 +215,18 @@
         return;
     m_open = true;
     auto held = std::exchange(m_held, {});
-    for (auto& [id, request] : held)
-        begin(id, std::move(request), now, actions);
+    for (Held& each : held)
+        begin(each.call, std::move(each.request), now, actions);
 }
 
 void CallEngine::refuseHeld(Instant now, CallActions& actions)
 {
-    constexpr unsigned unavailable = 503;
-    while (!m_held.empty() && now >= m_held.front().second->arrivedAt + m_limits.startHold) {
-        auto [id, request] = std::move(m_held.front());
-        m_held.pop_front();
-        refuse(id, *request, unavailable, "the routes are not known yet", startupRetry, now, actions);
-    }
+    std::erase_if(m_held, [&](const Held& held) {
+        if (now < held.until)
+            return false;
+        refuse(held.call, *held.request, unavailable, "the routes are not known yet", startupRetry, now, actions);
+        return true;
+    });
 }
 
 void CallEngine::noteWaiting(CallId id, const CallRun& run)
@@ -317,7 +320,12 @@
 
 void CallEngine::callerLeft(CallId id, Instant now, CallActions& actions)
 {
-    std::erase_if(m_held, [id](const auto& held) { return held.first == id; });
+    constexpr const char* left = "the caller closed its connection";
+    auto held = std::find_if(m_held.begin(), m_held.end(), [id](const Held& each) { return each.call == id; });
+    if (held != m_held.end()) {
+        record(*held->request, 0, left, now);
+        m_held.erase(held);
+    }
     auto found = m_calls.find(id);
     if (found == m_calls.end())
         return;
@@ -327,7 +335,7 @@
         for (SendId send : part.outstanding)
             environment.release(send, now);
     }
-    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), 0, "the caller closed its connection", now - run.request().arrivedAt, 0, run.extraSends(), "", run.lateAfter() });
+    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), 0, left, now - run.request().arrivedAt, 0, run.extraSends(), "", run.lateAfter() });
     m_metrics.add("pimentopoint_callers_left_total", "");
     m_calls.erase(found);
 }
@@ -365,9 +373,8 @@
 
 void CallEngine::expireAll(Instant now, CallActions& actions)
 {
-    constexpr unsigned unavailable = 503;
-    for (const auto& [id, request] : std::exchange(m_held, {}))
-        refuse(id, *request, unavailable, "the process stops", Duration(0), now, actions);
+    for (const Held& held : std::exchange(m_held, {}))
+        refuse(held.call, *held.request, unavailable, "the process stops", Duration(0), now, actions);
     std::vector<CallId> ids;
     for (auto& [id, call] : m_calls)
         ids.push_back(id);
--- a/Pimentopoint/src/Serve/CallEngine.h
+++ b/Pimentopoint/src/Serve/CallEngine.h
@@ -95,9 +95,13 @@
         RouteName route;
         Instant sentAt;
         Duration late;
-        bool extra;
-        bool released = false;
-        Instant releaseEnd {};
+        bool released = false; ///< Nobody waits for its answer.
+    };
+    /// A call that came before the routes are known.
+    struct Held {
+        CallId call;
+        std::shared_ptr<const CallerRequest> request;
+        Instant until;
     };
     struct Call {
         std::unique_ptr<CallRun> run;
@@ -131,6 +135,7 @@
     void reschedule(CallId id, Call& call);
     void resumeWaiting(const ServiceName& service, Instant now, CallActions& actions);
     void refuse(CallId call, const CallerRequest& request, unsigned status, const char* reason, Duration retryAfter, Instant now, CallActions& actions);
+    void record(const CallerRequest& request, unsigned status, const char* reason, Instant now);
     void noteWaiting(CallId id, const CallRun& run);
 
     TargetPool& m_pool;
@@ -139,7 +144,7 @@
     Recorder m_recorder;
     RoutingTablePointer m_routing;
     bool m_open = false;
-    std::deque<std::pair<CallId, std::shared_ptr<const CallerRequest>>> m_held;
+    std::vector<Held> m_held;
     std::unordered_map<CallId, Call> m_calls;
     std::unordered_map<SendId, SendState> m_sends;
     std::map<RouteName, std::unique_ptr<RouteState>> m_routes;
@@ -148,7 +153,7 @@
     std::map<ServiceName, std::deque<std::pair<CallId, std::size_t>>> m_waiting;
     struct Timer {
         Instant at;
-        CallId call; ///< 0: a released send.
+        CallId call; ///< 0: a released send, or a held call if that is 0 as well.
         SendId send;
         bool operator>(const Timer& other) const { return at > other.at; }
     };
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -24,6 +24,15 @@
 
     bool success(unsigned status) { return status >= 200 && status < 300; }
 
+    /// \returns whether another target may well answer what \a reply, no success, did not: statuses that speak of the target, not of the request
+    bool worthRepeating(const TargetReply& reply)
+    {
+        constexpr unsigned requestTimeout = 408;
+        constexpr unsigned tooMany = 429;
+        constexpr unsigned firstServerError = 500;
+        return reply.notRun || reply.status >= firstServerError || reply.status == requestTimeout || reply.status == tooMany;
+    }
+
 } // namespace
 
 CallRun::CallRun(std::shared_ptr<const CallerRequest> request, RoutingTablePointer routing, const RoutePolicy& route, std::vector<ServiceName> services, Duration late, Instant now)
@@ -61,26 +70,31 @@
         return;
     case CallEnvironment::Obstacle::Absent:
     case CallEnvironment::Obstacle::NoBudget:
-        if (part.outstanding.empty() && !part.failed) {
-            part.failed = true;
-            ++m_failedParts;
-        }
+        if (part.outstanding.empty())
+            fail(part);
         return;
     }
 }
 
+void CallRun::fail(CallPart& part)
+{
+    if (part.failed)
+        return;
+    part.failed = true;
+    part.waiting = false;
+    ++m_failedParts;
+}
+
 void CallRun::retry(CallEnvironment& environment, std::size_t index, Instant now)
 {
     CallPart& part = m_parts[index];
     if (!part.outstanding.empty())
         return;
     bool mayRun = m_route->repeatable || !part.mayHaveRun;
-    if (!mayRun || !mayRepeat(part)) {
-        part.failed = true;
-        ++m_failedParts;
-        return;
-    }
-    trySend(environment, index, part.arrivals > 0, now);
+    if (mayRun && mayRepeat(part))
+        trySend(environment, index, part.arrivals > 0, now);
+    else
+        fail(part);
 }
 
 void CallRun::replied(CallEnvironment& environment, std::size_t index, SendId send, TargetReply reply, Instant now)
@@ -103,7 +117,10 @@
     } else {
         part.mayHaveRun = part.mayHaveRun || !reply.notRun;
         part.reply = std::move(reply);
-        retry(environment, index, now);
+        if (part.reply.end == TargetReply::End::Answered && !worthRepeating(part.reply))
+            fail(part);
+        else
+            retry(environment, index, now);
     }
     settle(environment, now);
 }
@@ -140,16 +157,13 @@
     if (m_finished)
         return;
     if (now >= m_deadline - answerMargin) {
-        m_timedOut = true;
+        m_gaveUp = "no answer before the deadline";
         finish(environment, now);
         return;
     }
     for (CallPart& part : m_parts) {
-        if (part.waiting && now >= m_startedAt + std::chrono::duration_cast<Duration>(m_route->objective * mostWaiting)) {
-            part.waiting = false;
-            part.failed = true;
-            ++m_failedParts;
-        }
+        if (part.waiting && now >= waitEnd())
+            fail(part);
     }
     hedge(environment, now);
     m_wakeChanged = true;
@@ -159,7 +173,7 @@
 void CallRun::expire(CallEnvironment& environment, Instant now)
 {
     if (!m_finished) {
-        m_timedOut = true;
+        m_gaveUp = "the process stops";
         finish(environment, now);
     }
 }
@@ -171,7 +185,12 @@
 
 Instant CallRun::answerBy() const
 {
-    return m_request->arrivedAt + std::chrono::duration_cast<Duration>(m_route->objective * (1 - objectiveMarginPart)) - objectiveMargin;
+    return m_request->arrivedAt + scaled(m_route->objective, 1 - objectiveMarginPart) - objectiveMargin;
+}
+
+Instant CallRun::waitEnd() const
+{
+    return m_startedAt + scaled(m_route->objective, mostWaiting);
 }
 
 void CallRun::settle(CallEnvironment& environment, Instant now)
@@ -196,7 +215,7 @@
         if (mayHedge(part))
             wake = std::min(wake, part.sentAt + m_late);
         if (part.waiting)
-            wake = std::min(wake, m_startedAt + std::chrono::duration_cast<Duration>(m_route->objective * mostWaiting));
+            wake = std::min(wake, waitEnd());
     }
     if (m_route->fansOut() && enough(m_doneParts))
         wake = std::min(wake, answerBy());
@@ -224,20 +243,20 @@
 {
     CallPart& part = m_parts.front();
     bool targetAnswered = part.reply.end == TargetReply::End::Answered && !part.reply.notRun && part.reply.status;
-    if (part.done || (targetAnswered && !m_timedOut)) {
+    if (part.done || (targetAnswered && !m_gaveUp)) {
         m_answer.status = part.reply.status;
         m_answer.headers = std::move(part.reply.headers);
         m_answer.body = std::move(part.reply.body);
         m_answer.reason = part.done ? "answered" : "the target failed";
         return;
     }
-    answerFailure(m_timedOut ? "no answer before the deadline" : "no target answered");
+    answerFailure(m_gaveUp ? m_gaveUp : "no target answered");
 }
 
 void CallRun::answerFanOut()
 {
     if (!enough(m_doneParts)) {
-        answerFailure(m_timedOut ? "too few shards before the deadline" : "too few shards can answer");
+        answerFailure(m_gaveUp ? m_gaveUp : "too few shards can answer");
         return;
     }
     std::vector<std::string_view> bodies;
@@ -262,7 +281,7 @@
         m_answer.status = noTargetStatus;
         m_answer.retryAfter = roomAfter;
     } else {
-        m_answer.status = m_timedOut ? lateStatus : brokenStatus;
+        m_answer.status = m_gaveUp ? lateStatus : brokenStatus;
     }
 }
 
--- a/Pimentopoint/src/Serve/CallRun.h
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -80,6 +80,7 @@
 private:
     void trySend(CallEnvironment& environment, std::size_t part, bool extra, Instant now);
     void retry(CallEnvironment& environment, std::size_t part, Instant now);
+    void fail(CallPart& part);
     void hedge(CallEnvironment& environment, Instant now);
     bool mayHedge(const CallPart& part) const;
     bool mayRepeat(const CallPart& part) const { return part.arrivals < m_route->maxAttempts; }
@@ -89,7 +90,10 @@
     void answerSingle();
     void answerFanOut();
     void answerFailure(const char* reason);
+    /// When a fan-out with enough shards is answered.
     Instant answerBy() const;
+    /// When a part that found no connection is given up.
+    Instant waitEnd() const;
 
     std::shared_ptr<const CallerRequest> m_request;
     RoutingTablePointer m_routing;
@@ -102,7 +106,7 @@
     std::size_t m_doneParts = 0;
     std::size_t m_failedParts = 0;
     unsigned m_extraSends = 0;
-    bool m_timedOut = false;
+    const char* m_gaveUp = nullptr; ///< Why the call ended before its parts did; null if it did not.
     bool m_finished = false;
     CallerAnswer m_answer;
 };
--- a/test/CallTest.cpp
+++ b/test/CallTest.cpp
@@ -275,6 +275,78 @@
     REQUIRE(fleet.answers[call].headers.size() == 1);
 }
 
+TEST_CASE("a target's answer that says no by itself goes back at once and is asked for nowhere else")
+{
+    for (unsigned status : { 301U, 400U, 404U, 409U, 413U }) {
+        INFO(status);
+        ServeFleet fleet({ singleRoute("one"), fanOutRoute(4) });
+        for (int i = 1; i <= 3; ++i)
+            fleet.pool.put(targetOf("one", i), millisecond(0));
+        discover(fleet, 4);
+        earnCredit(fleet, "single.example");
+        earnCredit(fleet, "fan.example");
+        TargetReply refusal = ServeFleet::ok("stamp", "no");
+        refusal.status = status;
+        CallId call = fleet.ask("single.example", millisecond(10));
+        fleet.reply(fleet.sends.begin()->first, refusal, millisecond(11));
+        CHECK(fleet.sends.empty());
+        REQUIRE(fleet.answers.contains(call));
+        CHECK(fleet.answers[call].status == status);
+        CHECK(fleet.answers[call].body == "no");
+        fleet.arrivals.clear();
+        fleet.ask("fan.example", millisecond(20));
+        fleet.reply(fleet.sends.begin()->first, refusal, millisecond(21));
+        CHECK(fleet.arrivals.size() == 4);
+    }
+}
+
+TEST_CASE("a call that waits while a process starts is refused well before its caller's deadline")
+{
+    Metrics metrics;
+    TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
+    std::vector<std::string> reasons;
+    CallEngine engine(pool, metrics, CallLimits(), [&](const CallRecord& record) { reasons.emplace_back(record.reason); });
+    auto request = [](int patience) {
+        auto made = std::make_shared<CallerRequest>();
+        made->host = "single.example";
+        made->target = "/";
+        made->patience = std::chrono::milliseconds(patience);
+        return made;
+    };
+    CallActions actions;
+    engine.begin(CallId(1), request(5000), millisecond(0), actions);
+    engine.begin(CallId(2), request(100), millisecond(0), actions);
+    engine.begin(CallId(3), request(5000), millisecond(0), actions);
+    REQUIRE(engine.nextWake());
+    CHECK(*engine.nextWake() <= millisecond(50));
+    engine.tick(millisecond(50), actions);
+    REQUIRE(actions.answers.size() == 1);
+    CHECK(actions.answers[0].call == CallId(2));
+    // Whoever leaves meanwhile leaves a line.
+    engine.callerLeft(CallId(3), millisecond(60), actions);
+    CHECK(reasons.size() == 2);
+    engine.expireAll(millisecond(70), actions);
+    REQUIRE(actions.answers.size() == 2);
+    CHECK(reasons.back() == "the process stops");
+}
+
+TEST_CASE("a process that stops says so for the calls it gives up, and answers those it can")
+{
+    ServeFleet fleet({ fanOutRoute(4), singleRoute("one") });
+    discover(fleet, 4, 1);
+    fleet.pool.put(targetOf("one", 1), millisecond(0));
+    CallId enough = fleet.ask("fan.example", millisecond(0));
+    for (int i = 0; i < 3; ++i)
+        fleet.reply(fleet.sends.begin()->first, ServeFleet::ok("x"), millisecond(5));
+    CallId none = fleet.ask("single.example", millisecond(10));
+    CallActions actions;
+    fleet.engine.expireAll(millisecond(20), actions);
+    fleet.take(actions);
+    CHECK(fleet.answers[enough].status == 200);
+    CHECK(fleet.answers[none].status == 504);
+    CHECK(std::count(fleet.reasons.begin(), fleet.reasons.end(), "the process stops") == 1);
+}
+
 TEST_CASE("work for a caller that left ends soon")
 {
     ServeFleet fleet({ singleRoute("one") });
