Find the leader of a data centre once a change of members

Cause: NewsSource asked for each member whether it is the one that reads the store, by copying the whole list, at every read: quadratic in the hosts of a data centre. Ruled out: caching the answer by a list's revision; the leader changes only when the list does. Change: setMembers() finds the leader; choose() and follows() look it up. PlatformWatch::rank is public and used by both. Tests: 'a host that the store turns away reads from other hosts' checks every host of the fleet, each asking all others (it asserted nothing where the host did not follow the store); the whole suite passed.

--- a/Pimentopoint/src/Platform/PlatformWatch.cpp
+++ b/Pimentopoint/src/Platform/PlatformWatch.cpp
@@ -46,9 +46,13 @@
     slot.due = now + interval;
 }
 
+std::pair<std::uint64_t, MemberName> PlatformWatch::rank(const MemberRecord& record)
+{
+    return { hashOf(record.name().value()), record.name() };
+}
+
 bool PlatformWatch::isWatcher(const MemberRecord& self, const std::vector<MemberRecord>& members, std::size_t watchers)
 {
-    auto rank = [](const MemberRecord& record) { return std::pair(hashOf(record.name().value()), record.name()); };
     auto own = rank(self);
     auto ahead = std::count_if(members.begin(), members.end(), [&](const MemberRecord& member) {
         return member.usable() && member.dataCentre() == self.dataCentre() && rank(member) < own;
--- a/Pimentopoint/src/Platform/PlatformWatch.h
+++ b/Pimentopoint/src/Platform/PlatformWatch.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstddef>
+#include <utility>
 #include <vector>
 
 namespace pimentopoint {
@@ -47,6 +48,8 @@
     /// Notes the end of a read.
     void finish(DocumentKind kind, Result result, Instant now, bool watcher);
 
+    /// \returns the rank by which watchers are chosen; the least ones watch
+    static std::pair<std::uint64_t, MemberName> rank(const MemberRecord& record);
     /// \returns whether \a self is among the watchers of its data centre, given the usable \a members of the fleet
     static bool isWatcher(const MemberRecord& self, const std::vector<MemberRecord>& members, std::size_t watchers);
 
--- a/Pimentopoint/src/Serve/NewsSource.cpp
+++ b/Pimentopoint/src/Serve/NewsSource.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    /// Hosts of a data centre that follow the store. One suffices: its silence is noticed within the time of a short watch.
-    constexpr std::size_t followers = 1;
     /// For which a host that failed as a source is left alone: longer than a restart.
     constexpr Duration avoidHost = std::chrono::seconds(3);
     /// For which the store is left alone: long enough to ask one host in between, short beside the time in which news must be known.
@@ -22,9 +20,20 @@
 {
 }
 
-bool NewsSource::follows() const
+void NewsSource::setMembers(std::vector<MemberRecord> members)
 {
-    return PlatformWatch::isWatcher(m_self, m_members, followers);
+    m_members = std::move(members);
+    m_leader.reset();
+    auto least = PlatformWatch::rank(m_self);
+    for (const MemberRecord& member : m_members) {
+        if (!member.usable() || member.dataCentre() != m_self.dataCentre())
+            continue;
+        auto rank = PlatformWatch::rank(member);
+        if (rank < least) {
+            least = rank;
+            m_leader = member.tcp();
+        }
+    }
 }
 
 bool NewsSource::usable(const Choice& choice, Instant now) const
@@ -35,15 +44,8 @@
 
 NewsSource::Choice NewsSource::choose(Instant now) const
 {
-    if (!follows()) {
-        for (const MemberRecord& member : m_members) {
-            std::vector<MemberRecord> others { m_self };
-            std::copy_if(m_members.begin(), m_members.end(), std::back_inserter(others), [&](const MemberRecord& other) { return other.name() != member.name(); });
-            bool candidate = member.usable() && member.dataCentre() == m_self.dataCentre() && PlatformWatch::isWatcher(member, others, followers);
-            if (candidate && usable({ member.tcp() }, now))
-                return { member.tcp() };
-        }
-    }
+    if (m_leader && usable({ m_leader }, now))
+        return { m_leader };
     if (usable({}, now))
         return {};
     for (bool home : { true, false }) {
--- a/Pimentopoint/src/Serve/NewsSource.h
+++ b/Pimentopoint/src/Serve/NewsSource.h
@@ -23,18 +23,19 @@
 
     explicit NewsSource(MemberRecord self);
 
-    void setMembers(std::vector<MemberRecord> members) { m_members = std::move(members); }
+    void setMembers(std::vector<MemberRecord> members);
     Choice choose(Instant now) const;
     void failed(const Choice& choice, Instant now);
     void succeeded(const Choice& choice);
     /// \returns whether this host reads the store for its data centre
-    bool follows() const;
+    bool follows() const { return !m_leader; }
 
 private:
     bool usable(const Choice& choice, Instant now) const;
 
     MemberRecord m_self;
     std::vector<MemberRecord> m_members;
+    std::optional<Endpoint> m_leader; ///< The host that reads the store for this data centre; nothing: this one.
     std::map<Endpoint, Instant> m_avoidUntil; ///< By host; the empty endpoint is the store.
 };
 
--- a/test/NewsTest.cpp
+++ b/test/NewsTest.cpp
@@ -113,11 +113,21 @@
 
 TEST_CASE("a host that the store turns away reads from other hosts")
 {
-    NewsSource source = sourceOf(fleet().front());
-    source.failed({}, at(0));
-    NewsSource::Choice choice = source.choose(at(1));
-    if (source.follows())
-        CHECK(choice.host.has_value());
+    int followers = 0;
+    for (const MemberRecord& self : fleet()) {
+        NewsSource source = sourceOf(self);
+        followers += source.follows();
+        // Nobody answers but one host of another data centre.
+        std::set<Endpoint> asked;
+        for (int time = 0; time < 600; time += 50) {
+            NewsSource::Choice choice = source.choose(at(time));
+            if (choice.host)
+                asked.insert(*choice.host);
+            source.failed(choice, at(time));
+        }
+        CHECK(asked.size() == fleet().size() - 1);
+    }
+    CHECK(followers == 2);
 }
 
 TEST_CASE("a follower reads pages, then watches from the revision of the first page")
