Divide the budgets of repeats from CallEngine

Ruled out: nothing else moved; no behaviour changes. Change: RepeatBudgets and RepeatLimits; CallLimits holds them as 'repeats'. Tests: the cases of repeats over 1, 8 and 60 hosts are unchanged and pass.

--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -1,7 +1,6 @@
 #include "CallEngine.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace pimentopoint {
 
@@ -15,11 +14,6 @@
     /// Expected time before the first reply, as a part of the objective.
     constexpr double firstGuess = 0.15;
     constexpr double meanRate = 0.02;
-    /// Part of the slack of repeats that all hosts together may save up; the rest covers hosts that count each other differently.
-    constexpr double savedSlack = 0.7;
-    /// Repeats that a process may make at once when it starts, but for a part of its share of the slack, if that is less.
-    constexpr double firstCredit = 1.5;
-    constexpr double firstSlack = 0.3;
     /// Multiple of the late time after which a send that is given up speaks against its target.
     constexpr int silentMultiple = 2;
     constexpr unsigned unavailable = 503;
@@ -50,7 +44,7 @@
         // A repeat to a target that stands still as well helps nobody.
         if (extra && !part.outstanding.empty() && !choice->steady)
             return Obstacle::NoBudget;
-        if (extra && !m_engine.budget(part.service).spend())
+        if (extra && !m_engine.m_repeats.spend(part.service))
             return Obstacle::NoBudget;
         SendId id(++m_engine.m_lastSend);
         Duration late = m_run.lateAfter();
@@ -86,6 +80,7 @@
     , m_metrics(metrics)
     , m_limits(limits)
     , m_recorder(std::move(recorder))
+    , m_repeats(limits.repeats)
 {
 }
 
@@ -103,23 +98,6 @@
     return *state;
 }
 
-void CallEngine::earn(const ServiceName& service, Instant now)
-{
-    // Over all hosts and any window: repeats <= share x requests + what was saved, and the sum of what all hosts may save is
-    // (ratio - share) x requests + a part of the slack.
-    auto [at, fresh] = m_budgets.try_emplace(service);
-    Budget& budget = at->second;
-    double slack = m_limits.extraSlack / static_cast<double>(m_hosts);
-    double passed = std::chrono::duration<double>(now - budget.earnedAt) / std::chrono::duration<double>(m_limits.extraWindow);
-    budget.recentCalls = budget.recentCalls * std::exp(-passed) + 1;
-    budget.earnedAt = now;
-    double spare = m_limits.extraRatio.value() - m_limits.extraShare.value();
-    budget.credit.setMaxCredit(spare * budget.recentCalls + savedSlack * slack);
-    if (fresh)
-        budget.credit.earn(1, Fraction(std::min(firstCredit, firstSlack * slack)));
-    budget.credit.earn(1, m_limits.extraShare);
-}
-
 ServiceName CallEngine::chooseService(const RoutePolicy& route)
 {
     // Smooth weighted turns: each service gains its weight, the one with most is taken and pays the sum.
@@ -196,7 +174,7 @@
     }
     std::vector<ServiceName> services = route->fansOut() ? route->shards : std::vector<ServiceName> { chooseService(*route) };
     for (const ServiceName& service : services)
-        earn(service, now);
+        m_repeats.earn(service, now);
     auto [at, fresh] = m_calls.try_emplace(id);
     Call& call = at->second;
     call.run = std::make_unique<CallRun>(std::move(request), m_routing, *route, std::move(services), lateAfter(*route), now);
--- a/Pimentopoint/src/Serve/CallEngine.h
+++ b/Pimentopoint/src/Serve/CallEngine.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "../Caller/ExtraSendBudget.h"
 #include "../Caller/LatencyWindow.h"
 #include "../Core/Metrics.h"
 #include "CallRun.h"
+#include "RepeatBudgets.h"
 
 #include <algorithm>
 #include <deque>
@@ -50,10 +50,7 @@
 
 /// Limits of a CallEngine.
 struct CallLimits {
-    Fraction extraRatio { 0.2 }; ///< Most repeats of a service as a part of its requests, all hosts together.
-    Fraction extraShare { 0.13 }; ///< What each request earns of it; the rest may be saved up.
-    double extraSlack = 0; ///< Repeats of a service beyond the share in a window, all hosts together.
-    Duration extraWindow = std::chrono::seconds(10); ///< The window in which repeats are counted.
+    RepeatLimits repeats;
     Duration startHold = std::chrono::milliseconds(250); ///< For which a call waits for the first routes; reading them takes 30 to 100 ms.
     Duration releaseTime = std::chrono::milliseconds(300); ///< A send that nobody waits for may end within it; below the half second in which targets must be freed.
 };
@@ -70,7 +67,7 @@
 
     void setRouting(RoutingTablePointer routing);
     /// Sets how many hosts share what is allowed beyond the share of repeats.
-    void setHosts(std::size_t hosts) { m_hosts = std::max<std::size_t>(1, hosts); }
+    void setHosts(std::size_t hosts) { m_repeats.setHosts(hosts); }
     const RoutingTablePointer& routing() const { return m_routing; }
 
     /// Begins a call; before open() it is held for a moment, as the routes of a process that starts come within that.
@@ -120,13 +117,6 @@
 
     void refuseHeld(Instant now, CallActions& actions);
     RouteState& routeState(const RouteName& name);
-    struct Budget {
-        ExtraSendBudget credit;
-        Instant earnedAt {};
-        double recentCalls = 0; ///< In about a window.
-    };
-    ExtraSendBudget& budget(const ServiceName& service) { return m_budgets[service].credit; }
-    void earn(const ServiceName& service, Instant now);
     ServiceName chooseService(const RoutePolicy& route);
     Duration lateAfter(const RoutePolicy& route) const;
     Duration expected(const RoutePolicy& route) const;
@@ -148,8 +138,7 @@
     std::unordered_map<CallId, Call> m_calls;
     std::unordered_map<SendId, SendState> m_sends;
     std::map<RouteName, std::unique_ptr<RouteState>> m_routes;
-    std::map<ServiceName, Budget> m_budgets;
-    std::size_t m_hosts = 1;
+    RepeatBudgets m_repeats;
     std::map<ServiceName, std::deque<std::pair<CallId, std::size_t>>> m_waiting;
     struct Timer {
         Instant at;
--- /dev/null
+++ b/Pimentopoint/src/Serve/RepeatBudgets.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "../Caller/ExtraSendBudget.h"
+#include "../Core/Clock.h"
+#include "../Core/Fraction.h"
+#include "../Core/Ids.h"
+
+#include <cstddef>
+#include <map>
+
+namespace pimentopoint {
+
+/// Limits on repeats; they hold for each service and over all hosts together.
+struct RepeatLimits {
+    Fraction ratio { 0.2 }; ///< Most repeats as a part of the requests.
+    Fraction share { 0.13 }; ///< What each request earns of it; the rest may be saved up.
+    double slack = 0; ///< Repeats beyond the ratio in a window.
+    Duration window = std::chrono::seconds(10); ///< In which repeats are counted.
+};
+
+/// \class RepeatBudgets
+/// \ingroup Serve
+/// \brief Bounds the hedges and retries that this host sends to each service.
+/// \details In any window and over all hosts: repeats <= share x requests + what was saved before it, and what all hosts together
+/// may save is (ratio - share) x requests + a part of the slack.
+class RepeatBudgets {
+public:
+    explicit RepeatBudgets(RepeatLimits limits)
+        : m_limits(limits)
+    {
+    }
+
+    /// Sets how many hosts share the slack.
+    void setHosts(std::size_t hosts);
+    /// Notes the first send of a request to \a service.
+    void earn(const ServiceName& service, Instant now);
+    /// \returns whether one more repeat is allowed, and if so charges it
+    bool spend(const ServiceName& service) { return m_budgets[service].credit.spend(); }
+
+private:
+    struct Budget {
+        ExtraSendBudget credit;
+        Instant earnedAt {};
+        double recentCalls = 0; ///< In about a window.
+    };
+
+    RepeatLimits m_limits;
+    std::size_t m_hosts = 1;
+    std::map<ServiceName, Budget> m_budgets;
+};
+
+} // namespace pimentopoint
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -34,10 +34,10 @@
     CallLimits limitsFrom(const HostSettings& settings)
     {
         CallLimits limits;
-        limits.extraRatio = Fraction(settings.repeatRatio);
-        limits.extraShare = Fraction(settings.repeatRatio * ratioUse);
-        limits.extraSlack = settings.repeatSlack;
-        limits.extraWindow = settings.repeatWindow;
+        limits.repeats.ratio = Fraction(settings.repeatRatio);
+        limits.repeats.share = Fraction(settings.repeatRatio * ratioUse);
+        limits.repeats.slack = settings.repeatSlack;
+        limits.repeats.window = settings.repeatWindow;
         return limits;
     }
 
--- a/test/CallTest.cpp
+++ b/test/CallTest.cpp
@@ -215,7 +215,7 @@
     int sum = 0;
     for (const auto& [target, count] : fleet.arrivals)
         sum += count;
-    CHECK(sum - calls <= static_cast<int>(calls * CallLimits().extraShare.value()));
+    CHECK(sum - calls <= static_cast<int>(calls * RepeatLimits().share.value()));
     CHECK(sum > calls);
 }
 
@@ -225,7 +225,7 @@
     constexpr int window = 10000;
     for (std::size_t hosts : { 1U, 8U, 60U }) {
         CallLimits limits;
-        limits.extraSlack = 56;
+        limits.repeats.slack = 56;
         std::vector<int> requests;
         std::vector<int> repeats;
         for (std::size_t host = 0; host < hosts; ++host) {
@@ -253,7 +253,7 @@
         auto within = [](const std::vector<int>& times, int from) { return std::count_if(times.begin(), times.end(), [from](int time) { return time >= from && time < from + window; }); };
         for (int start = 0; start <= 30000; start += 250) {
             INFO(hosts << " hosts, from " << start);
-            CHECK(static_cast<double>(within(repeats, start)) <= ratio * static_cast<double>(within(requests, start)) + limits.extraSlack);
+            CHECK(static_cast<double>(within(repeats, start)) <= ratio * static_cast<double>(within(requests, start)) + limits.repeats.slack);
         }
         CHECK_FALSE(repeats.empty());
     }
