--- a/Pimentopoint/src/Net/CallerLink.cpp
+++ b/Pimentopoint/src/Net/CallerLink.cpp
@@ -1,5 +1,6 @@
 #include "CallerLink.h"
 
+#include "HostHeaders.h"
 #include "HttpText.h"
 #include "SocketOptions.h"
 
@@ -149,6 +150,19 @@
     }
 }
 
+bool CallerLink::readDelegation(const http::fields& message, CallerRequest& request) const
+{
+    auto version = parseNumber(headerValue(message, hostHeaders::version));
+    auto spent = parseNumber(headerValue(message, hostHeaders::spent));
+    if (!version || !spent)
+        return false;
+    auto shards = parseNumbers(headerValue(message, hostHeaders::shards));
+    if (!shards)
+        return false;
+    request.delegation = Delegation { ConfigurationVersion(*version), Duration(static_cast<Duration::rep>(*spent)), std::move(*shards) };
+    return true;
+}
+
 void CallerLink::dispatch()
 {
     const auto& message = m_parser->get();
@@ -159,7 +173,9 @@
     request->host = text(message[http::field::host]);
     request->patience = m_dialect.deadline.empty() ? defaultPatience : patienceOf(text(message[m_dialect.deadline]));
     request->arrivedAt = m_clock.now();
-    request->headers = endToEndHeaders(message, { m_dialect.deadline, m_dialect.targetName });
+    request->headers = endToEndHeaders(message, { m_dialect.deadline, m_dialect.targetName, hostHeaders::version, hostHeaders::spent, hostHeaders::shards });
+    m_requestReadAt = request->arrivedAt;
+    bool complete = !m_hooks.fromHosts || readDelegation(message, *request);
     m_keepAlive = message.keep_alive();
     m_headRequest = request->method == "HEAD";
     request->body = std::move(m_parser->get().body());
@@ -169,6 +185,10 @@
         reject(badRequest, "the request has no id or no path");
         return;
     }
+    if (!complete) {
+        reject(badRequest, "a request of another host lacks a version or a time");
+        return;
+    }
     // The answer may come before the hook returns.
     m_call = CallId(0);
     CallId call = m_hooks.request(shared_from_this(), std::move(request));
@@ -199,6 +219,8 @@
         appendHeader(m_out, m_dialect.partStamps, answer.partStamps);
         appendHeader(m_out, m_dialect.missingParts, std::to_string(answer.missingParts));
     }
+    if (m_hooks.fromHosts)
+        appendHeader(m_out, hostHeaders::took, std::to_string((m_clock.now() - m_requestReadAt).count()));
     if (answer.retryAfter > Duration(0)) {
         char seconds[32];
         std::snprintf(seconds, sizeof seconds, "%.3f", std::chrono::duration<double>(answer.retryAfter).count());
--- a/Pimentopoint/src/Net/CallerLink.h
+++ b/Pimentopoint/src/Net/CallerLink.h
@@ -28,6 +28,7 @@
         std::function<void(const std::shared_ptr<CallerLink>&)> closed;
         std::function<CallerLimits()> limits;
         std::function<bool()> draining; ///< Whether answers ask the caller to close the connection.
+        bool fromHosts = false; ///< Whether the callers are hosts whose fan-outs are run here.
     };
 
     CallerLink(boost::asio::ip::tcp::socket socket, const Clock& clock, const HeaderDialect& dialect, Hooks hooks);
@@ -50,6 +51,8 @@
     void advance();
     void renewParser();
     void dispatch();
+    /// \returns whether \a message says what is needed to run it for another host
+    bool readDelegation(const boost::beast::http::fields& message, CallerRequest& request) const;
     void reject(unsigned status, const char* reason);
     void write();
     void written(const boost::system::error_code& error);
@@ -71,6 +74,7 @@
     bool m_closed = false;
     bool m_continueSent = false;
     Instant m_activeAt; ///< Of the latest byte read or written.
+    Instant m_requestReadAt {};
     Instant m_requestSince {}; ///< Of the first byte of the request being read.
 };
 
--- a/Pimentopoint/src/Net/CallerServer.cpp
+++ b/Pimentopoint/src/Net/CallerServer.cpp
@@ -33,6 +33,7 @@
             };
             hooks.closed = [this](const std::shared_ptr<CallerLink>& link) { m_links.erase(link); };
             hooks.limits = m_hooks.limits;
+            hooks.fromHosts = m_hooks.fromHosts;
             hooks.draining = [this] { return m_draining; };
             auto link = std::make_shared<CallerLink>(std::move(socket), m_clock, m_dialect, std::move(hooks));
             m_links.insert(link);
@@ -44,20 +45,21 @@
 
 CallId CallerServer::begin(const std::shared_ptr<CallerLink>& link, std::shared_ptr<const CallerRequest> request)
 {
-    CallId call(++m_lastCall);
+    CallId call = m_hooks.nextCall ? m_hooks.nextCall() : CallId(++m_lastCall);
     m_calls.emplace(call, link);
     m_hooks.request(call, std::move(request));
     return call;
 }
 
-void CallerServer::answer(CallId call, const CallerAnswer& answer)
+bool CallerServer::answer(CallId call, const CallerAnswer& answer)
 {
     auto found = m_calls.find(call);
     if (found == m_calls.end())
-        return;
+        return false;
     std::shared_ptr<CallerLink> link = found->second;
     m_calls.erase(found);
     link->answer(answer);
+    return true;
 }
 
 void CallerServer::check(Instant now)
--- a/Pimentopoint/src/Net/CallerServer.h
+++ b/Pimentopoint/src/Net/CallerServer.h
@@ -19,12 +19,15 @@
         std::function<void(CallId, std::shared_ptr<const CallerRequest>)> request;
         std::function<void(CallId)> left;
         std::function<CallerLimits()> limits;
+        std::function<CallId()> nextCall {}; ///< Numbers the requests; without it they are numbered here.
+        bool fromHosts = false; ///< Whether the callers are hosts whose fan-outs are run here.
     };
 
     /// \throws ListenFailure
     CallerServer(boost::asio::io_context& context, const Clock& clock, const HeaderDialect& dialect, const Endpoint& endpoint, std::size_t mostConnections, Hooks hooks);
 
-    void answer(CallId call, const CallerAnswer& answer);
+    /// \returns whether the call is one of this server
+    bool answer(CallId call, const CallerAnswer& answer);
     void check(Instant now);
     /// From now on answers ask callers to close their connections.
     void beginDrain() { m_draining = true; }
--- a/Pimentopoint/src/Net/HttpText.cpp
+++ b/Pimentopoint/src/Net/HttpText.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
+#include <charconv>
 
 namespace pimentopoint {
 
@@ -55,6 +56,42 @@
     return headers;
 }
 
+std::string_view headerValue(const http::fields& fields, std::string_view name)
+{
+    return view(fields[boost::beast::string_view(name.data(), name.size())]);
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view value)
+{
+    std::uint64_t number = 0;
+    auto [end, failed] = std::from_chars(value.data(), value.data() + value.size(), number);
+    if (failed != std::errc() || end != value.data() + value.size())
+        return std::nullopt;
+    return number;
+}
+
+std::optional<std::vector<std::size_t>> parseNumbers(std::string_view value)
+{
+    std::vector<std::size_t> numbers;
+    while (!value.empty()) {
+        std::size_t end = value.find(',');
+        auto number = parseNumber(value.substr(0, end));
+        if (!number)
+            return std::nullopt;
+        numbers.push_back(*number);
+        value = end == std::string_view::npos ? std::string_view() : value.substr(end + 1);
+    }
+    return numbers;
+}
+
+std::string joinNumbers(const std::vector<std::size_t>& numbers)
+{
+    std::string text;
+    for (std::size_t number : numbers)
+        text.append(text.empty() ? "" : ",").append(std::to_string(number));
+    return text;
+}
+
 void appendHeader(std::string& text, std::string_view name, std::string_view value)
 {
     text.append(name).append(": ").append(value).append("\r\n");
--- a/Pimentopoint/src/Net/HttpText.h
+++ b/Pimentopoint/src/Net/HttpText.h
@@ -5,9 +5,12 @@
 #include "../Serve/TargetReply.h"
 
 #include <boost/beast/http/fields.hpp>
+#include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace pimentopoint {
 
@@ -18,6 +21,18 @@
 /// \param dropped names that are left out as well
 HeaderList endToEndHeaders(const boost::beast::http::fields& fields, std::initializer_list<std::string_view> dropped);
 
+/// \returns the value of the header \a name; empty if there is none
+std::string_view headerValue(const boost::beast::http::fields& fields, std::string_view name);
+
+/// \returns the number that \a value writes in decimal digits, nothing if it writes none
+std::optional<std::uint64_t> parseNumber(std::string_view value);
+
+/// \returns the numbers that \a value lists with commas between them, nothing if it does not; none for an empty \a value
+std::optional<std::vector<std::size_t>> parseNumbers(std::string_view value);
+
+/// \returns \a numbers with commas between them
+std::string joinNumbers(const std::vector<std::size_t>& numbers);
+
 /// Appends "name: value" and a line end.
 void appendHeader(std::string& text, std::string_view name, std::string_view value);
 
--- a/Pimentopoint/src/Net/TargetLink.cpp
+++ b/Pimentopoint/src/Net/TargetLink.cpp
@@ -1,5 +1,6 @@
 #include "TargetLink.h"
 
+#include "HostHeaders.h"
 #include "HttpText.h"
 #include "SocketOptions.h"
 
@@ -128,6 +129,12 @@
         appendHeader(m_out, name, value);
     appendHeader(m_out, m_dialect.deadline, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
     appendHeader(m_out, m_dialect.targetName, m_send->target.value());
+    if (m_send->delegation) {
+        appendHeader(m_out, hostHeaders::version, std::to_string(m_send->delegation->version.value()));
+        appendHeader(m_out, hostHeaders::spent, std::to_string(m_send->delegation->spent.count()));
+        if (!m_send->delegation->shards.empty())
+            appendHeader(m_out, hostHeaders::shards, joinNumbers(m_send->delegation->shards));
+    }
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
         appendHeader(m_out, "Content-Length", std::to_string(request.body.size()));
     m_out.append("\r\n").append(request.body);
@@ -244,6 +251,20 @@
     return m_clock.now() + kept;
 }
 
+bool TargetLink::readAggregate(TargetReply& reply) const
+{
+    constexpr unsigned unavailable = 503;
+    const auto& message = m_parser->get();
+    // A host says 503 only of what it did not run.
+    reply.notRun = reply.status == unavailable;
+    reply.took = Duration(static_cast<Duration::rep>(parseNumber(headerValue(message, hostHeaders::took)).value_or(0)));
+    reply.partStamps = std::string(headerValue(message, m_dialect.partStamps));
+    reply.stamp = reply.partStamps;
+    auto missing = parseNumber(headerValue(message, m_dialect.missingParts));
+    reply.missingParts = static_cast<unsigned>(missing.value_or(0));
+    return missing.has_value();
+}
+
 void TargetLink::answered(bool reusable)
 {
     const auto& message = m_parser->get();
@@ -255,13 +276,14 @@
     auto stamp = message.find(m_dialect.stamp);
     if (stamp != message.end())
         reply.stamp = std::string(stamp->value());
+    bool complete = !m_send->delegation || readAggregate(reply);
     auto id = message.find(m_dialect.requestId);
     if (id != message.end() && id->value() != m_send->request->id) {
         fail(TargetReply::End::Lost, "the answer belongs to another request");
         return;
     }
     bool success = reply.status >= 200 && reply.status < 300;
-    if (success && reply.stamp.empty()) {
+    if (success && (reply.stamp.empty() || !complete)) {
         fail(TargetReply::End::Lost, "the answer has no signature");
         return;
     }
--- a/Pimentopoint/src/Net/TargetLink.h
+++ b/Pimentopoint/src/Net/TargetLink.h
@@ -52,6 +52,8 @@
     void received(const boost::system::error_code& error);
     void parse(std::string_view bytes, bool ended);
     void answered(bool reusable);
+    /// Takes what an aggregating host says of its answer; \returns whether it is complete
+    bool readAggregate(TargetReply& reply) const;
     void fail(TargetReply::End end, const char* cause);
     void settle(TargetReply reply, bool reusable);
     Instant keptUntil() const;
--- a/Pimentopoint/src/Peer/MemberRecord.h
+++ b/Pimentopoint/src/Peer/MemberRecord.h
@@ -53,6 +53,10 @@
         return *this;
     }
 
+    /// \returns the processor time that the member has, in thousandths of a core
+    std::uint32_t millicores() const { return m_millicores; }
+    void setMillicores(std::uint32_t millicores) { m_millicores = millicores; }
+
     std::uint32_t revision() const { return m_revision; }
     void setRevision(std::uint32_t revision) { m_revision = revision; }
     MemberState state() const { return m_state; }
@@ -69,7 +73,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(m_name, m_dataCentre, m_udp, m_tcp, m_http, m_incarnation, m_revision);
+        archive(m_name, m_dataCentre, m_udp, m_tcp, m_http, m_incarnation, m_revision, m_millicores);
         serializeEnumeration(archive, m_role, MemberRole::Gateway);
         serializeEnumeration(archive, m_state, MemberState::Dead);
     }
@@ -83,6 +87,7 @@
     Endpoint m_http;
     Incarnation m_incarnation;
     std::uint32_t m_revision = 0;
+    std::uint32_t m_millicores = 1000;
     MemberState m_state = MemberState::Alive;
 };
 
--- /dev/null
+++ b/Pimentopoint/src/Serve/AggregatorPool.cpp
@@ -0,0 +1,186 @@
+#include "AggregatorPool.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace pimentopoint {
+
+namespace {
+
+    /// All of a fan-out is given to another data centre if this one has targets of fewer shards than this part of what another one has.
+    constexpr double homeReach = 0.5;
+    /// Part of the best data centre's shards that the data centre of an aggregating host must have.
+    constexpr double goodReach = 0.75;
+    /// Shards from which those that this data centre lacks are given away: one merged answer is about as large as two parts.
+    constexpr std::size_t leastAway = 3;
+    /// Multiple of this host's processor time from which a host of the same data centre is asked: the way there and back costs about
+    /// what a fan-out of a dozen shards does.
+    constexpr unsigned muchStronger = 2;
+    /// Part of the most processor time among the hosts from which one counts as strong.
+    constexpr double strongPart = 0.5;
+    /// Fan-outs of this host at one aggregating host at a time; further ones go to the next. One at work is some ten thousand bytes of answers.
+    constexpr std::size_t mostAtOnce = 8;
+    /// After a failure: a host that was killed is back after about a second, one that is cut off after several.
+    constexpr Duration firstBackoff = std::chrono::milliseconds(300);
+    constexpr Duration longestBackoff = std::chrono::seconds(3);
+    constexpr unsigned mostDoublings = 4;
+    /// After a refusal: it is busy, or knows another version for the time that news takes.
+    constexpr Duration refusedBackoff = std::chrono::milliseconds(200);
+    /// Weight of the latest answer in what is learnt of the ways.
+    constexpr double waysRate = 0.1;
+    /// Part of the time for an answer that the ways may take; a host that is short of processor time reads its requests late.
+    constexpr double mostWays = 0.25;
+
+    std::size_t mostShards(const std::map<DataCentreName, std::size_t>& shards)
+    {
+        std::size_t most = 0;
+        for (const auto& [dataCentre, count] : shards)
+            most = std::max(most, count);
+        return most;
+    }
+
+} // namespace
+
+AggregatorPool::AggregatorPool(MemberRecord self, Observer observer)
+    : m_self(std::move(self))
+    , m_observer(std::move(observer))
+{
+}
+
+void AggregatorPool::setMembers(const std::vector<MemberRecord>& members)
+{
+    std::map<MemberName, Host> hosts;
+    for (const MemberRecord& record : members) {
+        if (record.state() != MemberState::Alive || !record.http().port())
+            continue;
+        auto known = m_hosts.find(record.name());
+        bool same = known != m_hosts.end() && known->second.record.incarnation() == record.incarnation();
+        Host& host = hosts[record.name()];
+        if (same)
+            host = std::move(known->second);
+        host.record = record;
+    }
+    m_hosts = std::move(hosts);
+    rank();
+}
+
+void AggregatorPool::rank()
+{
+    std::uint32_t most = m_self.millicores();
+    for (const auto& [name, host] : m_hosts)
+        most = std::max(most, host.record.millicores());
+    m_ranked.clear();
+    for (auto& [name, host] : m_hosts) {
+        host.strong = host.record.millicores() >= strongPart * most;
+        m_ranked.push_back(&host);
+    }
+    auto order = [this](const Host* host) { return std::tuple(!host->strong, hashOf(m_self.name().value() + "/" + host->record.name().value()), host->record.name()); };
+    std::sort(m_ranked.begin(), m_ranked.end(), [&](const Host* a, const Host* b) { return order(a) < order(b); });
+}
+
+bool AggregatorPool::free(const Host& host, Instant now) const
+{
+    bool stalled = std::any_of(host.outstanding.begin(), host.outstanding.end(), [now](const Outstanding& o) { return now > o.dueAt; });
+    return !stalled && now >= host.avoidUntil && host.outstanding.size() < mostAtOnce;
+}
+
+std::optional<AggregatorPool::Choice> AggregatorPool::strongerAtHome(Instant now) const
+{
+    for (const Host* host : m_ranked) {
+        const MemberRecord& record = host->record;
+        bool suits = record.dataCentre() == m_self.dataCentre() && record.millicores() >= muchStronger * m_self.millicores();
+        if (suits && free(*host, now))
+            return Choice { Scope::All, record.name(), record.http(), host->ways.value_or(Duration(0)) };
+    }
+    return std::nullopt;
+}
+
+std::optional<AggregatorPool::Choice> AggregatorPool::elsewhere(Scope scope, const std::map<DataCentreName, std::size_t>& shards, Instant now) const
+{
+    double enough = goodReach * static_cast<double>(mostShards(shards));
+    for (const Host* host : m_ranked) {
+        const MemberRecord& record = host->record;
+        auto found = shards.find(record.dataCentre());
+        bool suits = record.dataCentre() != m_self.dataCentre() && found != shards.end() && static_cast<double>(found->second) >= enough;
+        if (suits && free(*host, now))
+            return Choice { scope, record.name(), record.http(), host->ways.value_or(Duration(0)) };
+    }
+    return std::nullopt;
+}
+
+std::optional<AggregatorPool::Choice> AggregatorPool::choose(const ShardReach& reach, bool onlyAway, Instant now) const
+{
+    auto found = reach.shards.find(m_self.dataCentre());
+    std::size_t atHome = found == reach.shards.end() ? 0 : found->second;
+    bool lacksMost = static_cast<double>(atHome) < homeReach * static_cast<double>(mostShards(reach.shards));
+    if (lacksMost && !onlyAway)
+        return elsewhere(Scope::All, reach.shards, now);
+    std::optional<Choice> choice;
+    if (!onlyAway)
+        choice = strongerAtHome(now);
+    if (!choice && reach.away.size() >= leastAway)
+        choice = elsewhere(Scope::AwayShards, reach.awayShards, now);
+    return choice;
+}
+
+void AggregatorPool::sent(const MemberName& name, SendId send, Duration patience, Instant now)
+{
+    auto found = m_hosts.find(name);
+    if (found != m_hosts.end())
+        found->second.outstanding.push_back({ send, now, now + patience });
+}
+
+std::optional<AggregatorPool::Outstanding> AggregatorPool::take(const MemberName& name, SendId send)
+{
+    auto found = m_hosts.find(name);
+    if (found == m_hosts.end())
+        return std::nullopt;
+    auto& outstanding = found->second.outstanding;
+    auto at = std::find_if(outstanding.begin(), outstanding.end(), [send](const Outstanding& o) { return o.send == send; });
+    if (at == outstanding.end())
+        return std::nullopt;
+    Outstanding taken = *at;
+    outstanding.erase(at);
+    return taken;
+}
+
+void AggregatorPool::doubt(Host& host, std::string_view why, Instant now)
+{
+    Duration backoff = std::min(longestBackoff, firstBackoff * (1U << std::min(host.failures, mostDoublings)));
+    host.avoidUntil = std::max(host.avoidUntil, now + backoff);
+    if (++host.failures == 1)
+        m_observer(host.record.name(), "aggregator-doubted", why);
+}
+
+void AggregatorPool::ended(const MemberName& name, SendId send, const TargetReply& reply, Instant now)
+{
+    auto exchange = take(name, send);
+    if (!exchange)
+        return;
+    Host& host = m_hosts.at(name);
+    if (reply.end != TargetReply::End::Answered) {
+        doubt(host, reply.cause, now);
+        return;
+    }
+    if (reply.notRun) {
+        host.avoidUntil = std::max(host.avoidUntil, now + refusedBackoff);
+        return;
+    }
+    Duration ways = std::max(Duration(0), now - exchange->sentAt - reply.took);
+    host.ways = host.ways ? *host.ways + scaled(ways - *host.ways, waysRate) : ways;
+    if (ways > scaled(exchange->dueAt - exchange->sentAt, mostWays)) {
+        doubt(host, "its answer was long on the way", now);
+        return;
+    }
+    if (host.failures)
+        m_observer(name, "aggregator-trusted", "it answered");
+    host.failures = 0;
+}
+
+void AggregatorPool::abandoned(const MemberName& name, SendId send, bool silent, Instant now)
+{
+    if (take(name, send) && silent)
+        doubt(m_hosts.at(name), "it did not answer", now);
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/Pimentopoint/src/Serve/AggregatorPool.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "../Peer/MemberRecord.h"
+#include "ShardReach.h"
+#include "TargetReply.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace pimentopoint {
+
+/// \class AggregatorPool
+/// \ingroup Serve
+/// \brief The choice of a host that runs a fan-out, or some shards of it, for this one.
+/// \details All of a fan-out is given to a host of the same data centre with much more processor time, which serves sooner and sees more of
+/// each target's replies, or to one of another data centre if this one lacks most of the targets. If it lacks some, only their shards are given away:
+/// one merged answer crosses between the data centres instead of many parts. Each host prefers one such host of its own, so that one
+/// that falls silent costs few callers. Events in, choices out.
+class AggregatorPool {
+public:
+    /// What is given to another host.
+    enum class Scope : std::uint8_t {
+        All,
+        AwayShards, ///< Those that this data centre lacks.
+    };
+    struct Choice {
+        Scope scope;
+        MemberName name;
+        Endpoint endpoint;
+        Duration ways { 0 }; ///< What an answer takes longer than the host itself does.
+    };
+    /// What the pool tells of changed beliefs: host, event, cause.
+    using Observer = std::function<void(const MemberName&, std::string_view, std::string_view)>;
+
+    AggregatorPool(MemberRecord self, Observer observer);
+
+    /// \returns whether there is no other host to choose
+    bool empty() const { return m_hosts.empty(); }
+    void setMembers(const std::vector<MemberRecord>& members);
+    /// \brief Chooses a host for a fan-out whose shards have targets as \a reach says.
+    /// \param onlyAway whether only the shards that this data centre lacks may be given away
+    /// \returns nothing if this host is to run all of it
+    std::optional<Choice> choose(const ShardReach& reach, bool onlyAway, Instant now) const;
+    /// Notes a send to \a name, which stands still if it has not answered after \a patience.
+    void sent(const MemberName& name, SendId send, Duration patience, Instant now);
+    void ended(const MemberName& name, SendId send, const TargetReply& reply, Instant now);
+    /// The send was given up; with \a silent, because no answer came in time.
+    void abandoned(const MemberName& name, SendId send, bool silent, Instant now);
+
+private:
+    struct Outstanding {
+        SendId send;
+        Instant sentAt;
+        Instant dueAt;
+    };
+    struct Host {
+        MemberRecord record;
+        bool strong = false; ///< Whether few hosts have more processor time.
+        std::vector<Outstanding> outstanding;
+        std::optional<Duration> ways; ///< Smoothed; nothing before the first answer.
+        unsigned failures = 0; ///< In a row.
+        Instant avoidUntil {};
+    };
+
+    void rank();
+    /// \returns the first free host in a data centre that has a good part of what the best one has
+    std::optional<Choice> elsewhere(Scope scope, const std::map<DataCentreName, std::size_t>& shards, Instant now) const;
+    std::optional<Choice> strongerAtHome(Instant now) const;
+    bool free(const Host& host, Instant now) const;
+    void doubt(Host& host, std::string_view why, Instant now);
+    std::optional<Outstanding> take(const MemberName& name, SendId send);
+
+    MemberRecord m_self;
+    Observer m_observer;
+    std::map<MemberName, Host> m_hosts;
+    std::vector<const Host*> m_ranked; ///< The preferred one first.
+};
+
+} // namespace pimentopoint
--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -6,16 +6,10 @@
 
 namespace {
 
-    /// A send that takes longer than this share of all does is late; the rest fits the budget of repeats with room for retries.
-    constexpr double lateQuantile = 0.92;
-    /// Bounds on the time after which a send is late, as parts of the objective; the lower one also covers a busy network.
-    constexpr double earliestLate = 0.12;
-    constexpr double latestLate = 0.5;
-    /// Expected time before the first reply, as a part of the objective.
-    constexpr double firstGuess = 0.15;
-    constexpr double meanRate = 0.02;
     /// Multiple of the late time after which a send that is given up speaks against its target.
     constexpr int silentMultiple = 2;
+    /// For which the data centres with targets of a route are not looked up again; short beside what crosses between them meanwhile.
+    constexpr Duration reachAge = std::chrono::milliseconds(200);
     constexpr unsigned unavailable = 503;
     /// Until a process knows its routes: it reads them within a few round trips to the platform.
     constexpr Duration startupRetry = std::chrono::milliseconds(200);
@@ -46,10 +40,13 @@
             return Obstacle::NoBudget;
         if (extra && !m_engine.m_repeats.spend(part.service))
             return Obstacle::NoBudget;
+        if (part.tried.empty())
+            m_engine.m_repeats.earn(part.service, now);
+        m_engine.m_load.add(1, now);
         SendId id(++m_engine.m_lastSend);
         Duration late = m_run.lateAfter();
         m_engine.m_sends.emplace(id, SendState { m_id, index, choice->name, part.service, m_run.route().name, now, late });
-        m_engine.m_pool.sent(choice->name, id, m_engine.expected(m_run.route()), late, now);
+        m_engine.m_pool.sent(choice->name, id, m_engine.memory(m_run.route().name).expected(m_run.route()), late, now);
         m_actions.sends.push_back({ id, choice->name, choice->endpoint, m_run.requestPointer(), m_run.deadline(), !m_run.route().fansOut() });
         part.tried.push_back(choice->name);
         part.outstanding.push_back(id);
@@ -59,11 +56,48 @@
         return Obstacle::None;
     }
 
+    std::optional<Group> delegate(Instant now) override
+    {
+        if (m_engine.m_aggregators.empty())
+            return std::nullopt;
+        const RoutePolicy& route = m_run.route();
+        const ShardReach& reach = m_engine.reach(route, now);
+        bool onlyAway = m_run.request().delegation.has_value();
+        auto choice = m_engine.m_aggregators.choose(reach, onlyAway, now);
+        if (!choice)
+            return std::nullopt;
+        SendId id(++m_engine.m_lastSend);
+        TargetName target(choice->name.value());
+        m_engine.m_sends.emplace(id, SendState { m_id, 0, target, ServiceName(), route.name, now, route.objective, choice->name });
+        m_engine.m_aggregators.sent(choice->name, id, route.objective, now);
+        m_engine.m_calls.at(m_id).aggregator = choice->name;
+        m_engine.m_metrics.add("pimentopoint_delegated_calls_total", "");
+        Group group { id, {} };
+        Delegation delegation { m_run.routing().version(), now - m_run.request().arrivedAt + choice->ways, {} };
+        if (choice->scope == AggregatorPool::Scope::AwayShards) {
+            group.parts = reach.away;
+            delegation.shards = reach.away;
+        } else {
+            for (std::size_t i = 0; i < m_run.parts().size(); ++i)
+                group.parts.push_back(i);
+        }
+        m_actions.sends.push_back({ id, target, choice->endpoint, m_run.requestPointer(), m_run.deadline(), false, std::move(delegation) });
+        return group;
+    }
+
     void release(SendId send, Instant now) override
     {
         auto found = m_engine.m_sends.find(send);
         if (found == m_engine.m_sends.end())
             return;
+        if (found->second.aggregator) {
+            // That host in turn gives its targets the time to end.
+            bool silent = now - found->second.sentAt > found->second.late;
+            m_engine.m_aggregators.abandoned(*found->second.aggregator, send, silent, now);
+            m_engine.m_sends.erase(found);
+            m_actions.aborts.push_back(send);
+            return;
+        }
         found->second.released = true;
         m_engine.m_timers.push({ now + m_engine.m_limits.releaseTime, CallId(0), send });
     }
@@ -75,8 +109,9 @@
     CallActions& m_actions;
 };
 
-CallEngine::CallEngine(TargetPool& pool, Metrics& metrics, CallLimits limits, Recorder recorder)
+CallEngine::CallEngine(TargetPool& pool, AggregatorPool& aggregators, Metrics& metrics, CallLimits limits, Recorder recorder)
     : m_pool(pool)
+    , m_aggregators(aggregators)
     , m_metrics(metrics)
     , m_limits(limits)
     , m_recorder(std::move(recorder))
@@ -90,53 +125,48 @@
     m_pool.setRouting(m_routing);
 }
 
-CallEngine::RouteState& CallEngine::routeState(const RouteName& name)
+RouteMemory& CallEngine::memory(const RouteName& name)
 {
-    auto& state = m_routes[name];
-    if (!state)
-        state = std::make_unique<RouteState>(lateQuantile);
-    return *state;
+    auto& memory = m_routes[name];
+    if (!memory)
+        memory = std::make_unique<RouteMemory>();
+    return *memory;
 }
 
-ServiceName CallEngine::chooseService(const RoutePolicy& route)
+const ShardReach& CallEngine::reach(const RoutePolicy& route, Instant now)
 {
-    // Smooth weighted turns: each service gains its weight, the one with most is taken and pays the sum.
-    auto& turns = routeState(route.name).turns;
-    double sum = 0;
-    const WeightedService* best = nullptr;
-    for (const WeightedService& each : route.services) {
-        double& turn = turns[each.service.value()];
-        turn += each.weight;
-        sum += each.weight;
-        if (!best || turn > turns[best->service.value()])
-            best = &each;
+    RouteMemory& known = memory(route.name);
+    if (known.reachAt == Instant::min() || now - known.reachAt >= reachAge) {
+        known.reach = m_pool.reach(route.shards, now);
+        known.reachAt = now;
     }
-    turns[best->service.value()] -= sum;
-    return best->service;
-}
-
-Duration CallEngine::lateAfter(const RoutePolicy& route) const
-{
-    auto found = m_routes.find(route.name);
-    Duration guess = scaled(route.objective, 2 * firstGuess);
-    Duration late = found == m_routes.end() ? guess : found->second->latencies.quantile(guess);
-    return std::clamp(late, scaled(route.objective, earliestLate), scaled(route.objective, latestLate));
+    return known.reach;
 }
 
-Duration CallEngine::expected(const RoutePolicy& route) const
+std::vector<ServiceName> CallEngine::servicesOf(const CallerRequest& request, const RoutePolicy& route)
 {
-    auto found = m_routes.find(route.name);
-    if (found == m_routes.end() || found->second->mean <= 0)
-        return scaled(route.objective, firstGuess);
-    return Duration(static_cast<Duration::rep>(found->second->mean));
+    if (!route.fansOut())
+        return { memory(route.name).nextService(route) };
+    if (!request.delegation || request.delegation->shards.empty())
+        return route.shards;
+    std::vector<ServiceName> services;
+    for (std::size_t index : request.delegation->shards) {
+        if (index >= route.shards.size())
+            return {};
+        services.push_back(route.shards[index]);
+    }
+    return services;
 }
 
-void CallEngine::learn(const SendState& send, Duration taken)
+const char* CallEngine::delegationRefusal(const Delegation& delegation, Instant now)
 {
-    RouteState& state = routeState(send.route);
-    state.latencies.add(taken);
-    auto micros = static_cast<double>(std::min(taken, 2 * send.late).count());
-    state.mean = state.mean <= 0 ? micros : state.mean + meanRate * (micros - state.mean);
+    if (!m_open)
+        return "the routes are not known yet";
+    if (delegation.version != m_routing->version())
+        return "another version is in force";
+    if (m_load.perSecond(now) > m_limits.delegatedSends)
+        return "too little processor time is left";
+    return nullptr;
 }
 
 void CallEngine::refuse(CallId call, const CallerRequest& request, unsigned status, const char* reason, Duration retryAfter, Instant now, CallActions& actions)
@@ -158,7 +188,14 @@
 
 void CallEngine::begin(CallId id, std::shared_ptr<const CallerRequest> request, Instant now, CallActions& actions)
 {
+    constexpr unsigned badRequest = 400;
     constexpr unsigned notFound = 404;
+    if (request->delegation) {
+        if (const char* reason = delegationRefusal(*request->delegation, now)) {
+            refuse(id, *request, unavailable, reason, startupRetry, now, actions);
+            return;
+        }
+    }
     if (!m_open) {
         // Half of a short patience is left for another try elsewhere.
         Instant until = request->arrivedAt + std::min(m_limits.startHold, request->patience / 2);
@@ -172,12 +209,14 @@
         refuse(id, *request, notFound, "no route matches", Duration(0), now, actions);
         return;
     }
-    std::vector<ServiceName> services = route->fansOut() ? route->shards : std::vector<ServiceName> { chooseService(*route) };
-    for (const ServiceName& service : services)
-        m_repeats.earn(service, now);
+    std::vector<ServiceName> services = servicesOf(*request, *route);
+    if (services.empty()) {
+        refuse(id, *request, badRequest, "the shards that another host asks for are not in the route", Duration(0), now, actions);
+        return;
+    }
     auto [at, fresh] = m_calls.try_emplace(id);
     Call& call = at->second;
-    call.run = std::make_unique<CallRun>(std::move(request), m_routing, *route, std::move(services), lateAfter(*route), now);
+    call.run = std::make_unique<CallRun>(std::move(request), m_routing, *route, std::move(services), memory(route->name).lateAfter(*route), now);
     Environment environment(*this, id, *call.run, actions);
     call.run->begin(environment, now);
     noteWaiting(id, *call.run);
@@ -237,7 +276,7 @@
         if (!part.done && !part.tried.empty())
             last = part.tried.back().value();
     }
-    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), answer.status, answer.reason, now - run.request().arrivedAt, answer.missingParts, run.extraSends(), last, run.lateAfter() });
+    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), answer.status, answer.reason, now - run.request().arrivedAt, answer.missingParts, run.extraSends(), last, run.lateAfter(), found->second.aggregator });
     actions.answers.push_back({ id, std::move(answer) });
     m_calls.erase(found);
 }
@@ -249,10 +288,14 @@
         return;
     SendState send = std::move(found->second);
     m_sends.erase(found);
+    if (send.aggregator) {
+        delegateEnded(send, id, std::move(reply), now, actions);
+        return;
+    }
     bool served = reply.end == TargetReply::End::Answered && !reply.notRun && reply.status < 500;
     m_pool.ended(send.target, id, reply, now);
     if (served)
-        learn(send, now - send.sentAt);
+        memory(send.route).answered(now - send.sentAt, send.late);
     auto call = m_calls.find(send.call);
     if (call != m_calls.end() && !send.released) {
         CallRun& run = *call->second.run;
@@ -268,6 +311,22 @@
     resumeWaiting(send.service, now, actions);
 }
 
+void CallEngine::delegateEnded(const SendState& send, SendId id, TargetReply reply, Instant now, CallActions& actions)
+{
+    m_aggregators.ended(*send.aggregator, id, reply, now);
+    auto call = m_calls.find(send.call);
+    if (call == m_calls.end())
+        return;
+    CallRun& run = *call->second.run;
+    Environment environment(*this, send.call, run, actions);
+    run.delegateEnded(environment, std::move(reply), now);
+    noteWaiting(send.call, run);
+    if (run.finished())
+        finish(send.call, now, actions);
+    else
+        reschedule(send.call, call->second);
+}
+
 void CallEngine::resumeWaiting(const ServiceName& service, Instant now, CallActions& actions)
 {
     auto queue = m_waiting.find(service);
@@ -309,11 +368,13 @@
         return;
     CallRun& run = *found->second.run;
     Environment environment(*this, id, run, actions);
+    if (run.delegated())
+        environment.release(run.delegated()->send, now);
     for (const CallPart& part : run.parts()) {
         for (SendId send : part.outstanding)
             environment.release(send, now);
     }
-    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), 0, left, now - run.request().arrivedAt, 0, run.extraSends(), "", run.lateAfter() });
+    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), 0, left, now - run.request().arrivedAt, 0, run.extraSends(), "", run.lateAfter(), found->second.aggregator });
     m_metrics.add("pimentopoint_callers_left_total", "");
     m_calls.erase(found);
 }
@@ -331,7 +392,7 @@
             SendState send = std::move(found->second);
             m_sends.erase(found);
             m_pool.abandoned(send.target, timer.send, now - send.sentAt > silentMultiple * send.late, now);
-            routeState(send.route).latencies.add(now - send.sentAt);
+            memory(send.route).abandoned(now - send.sentAt);
             actions.aborts.push_back(timer.send);
             resumeWaiting(send.service, now, actions);
             continue;
--- a/Pimentopoint/src/Serve/CallEngine.h
+++ b/Pimentopoint/src/Serve/CallEngine.h
@@ -1,13 +1,16 @@
 #pragma once
 
-#include "../Caller/LatencyWindow.h"
 #include "../Core/Metrics.h"
+#include "AggregatorPool.h"
 #include "CallRun.h"
+#include "LoadGauge.h"
 #include "RepeatBudgets.h"
+#include "RouteMemory.h"
 
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <queue>
@@ -24,6 +27,7 @@
         std::shared_ptr<const CallerRequest> request;
         Instant deadline; ///< Until which the target may work.
         bool wantsHeaders = true; ///< Whether the answer's headers are needed.
+        std::optional<Delegation> delegation {}; ///< Set if the target is a host that runs parts of the call for this one.
     };
     struct Answer {
         CallId call;
@@ -46,12 +50,14 @@
     unsigned extraSends;
     std::string lastTarget; ///< Of a part that is missing.
     Duration lateAfter; ///< After which its sends counted as late.
+    MemberName aggregator {}; ///< The host that was to run parts of it; empty: this one ran all.
 };
 
 /// Limits of a CallEngine.
 struct CallLimits {
     RepeatLimits repeats;
     Duration startHold = std::chrono::milliseconds(250); ///< For which a call waits for the first routes; reading them takes 30 to 100 ms.
+    double delegatedSends = std::numeric_limits<double>::infinity(); ///< Sends a second above which fan-outs of other hosts are refused.
     Duration releaseTime = std::chrono::milliseconds(300); ///< A send that nobody waits for may end within it; below the half second in which targets must be freed.
 };
 
@@ -63,7 +69,7 @@
 public:
     using Recorder = std::function<void(const CallRecord&)>;
 
-    CallEngine(TargetPool& pool, Metrics& metrics, CallLimits limits, Recorder recorder);
+    CallEngine(TargetPool& pool, AggregatorPool& aggregators, Metrics& metrics, CallLimits limits, Recorder recorder);
 
     void setRouting(RoutingTablePointer routing);
     /// Sets how many hosts share what is allowed beyond the share of repeats.
@@ -92,6 +98,7 @@
         RouteName route;
         Instant sentAt;
         Duration late;
+        std::optional<MemberName> aggregator {}; ///< Set if another host runs parts of the call.
         bool released = false; ///< Nobody waits for its answer.
     };
     /// A call that came before the routes are known.
@@ -103,24 +110,18 @@
     struct Call {
         std::unique_ptr<CallRun> run;
         Instant wake = Instant::max();
-    };
-    struct RouteState {
-        LatencyWindow latencies;
-        double mean = 0; ///< Microseconds; 0 before the first reply.
-        std::map<std::string, double> turns; ///< Of weighted services.
-        explicit RouteState(double quantile)
-            : latencies(quantile)
-        {
-        }
+        MemberName aggregator {}; ///< The host that was to run parts of it.
     };
     class Environment;
 
     void refuseHeld(Instant now, CallActions& actions);
-    RouteState& routeState(const RouteName& name);
-    ServiceName chooseService(const RoutePolicy& route);
-    Duration lateAfter(const RoutePolicy& route) const;
-    Duration expected(const RoutePolicy& route) const;
-    void learn(const SendState& send, Duration taken);
+    RouteMemory& memory(const RouteName& name);
+    /// \returns what serves the parts of \a request; nothing if it asks for shards that the route lacks
+    std::vector<ServiceName> servicesOf(const CallerRequest& request, const RoutePolicy& route);
+    const ShardReach& reach(const RoutePolicy& route, Instant now);
+    /// \returns why a fan-out of another host is not run here; null if it is
+    const char* delegationRefusal(const Delegation& delegation, Instant now);
+    void delegateEnded(const SendState& send, SendId id, TargetReply reply, Instant now, CallActions& actions);
     void finish(CallId id, Instant now, CallActions& actions);
     void reschedule(CallId id, Call& call);
     void resumeWaiting(const ServiceName& service, Instant now, CallActions& actions);
@@ -129,6 +130,7 @@
     void noteWaiting(CallId id, const CallRun& run);
 
     TargetPool& m_pool;
+    AggregatorPool& m_aggregators;
     Metrics& m_metrics;
     CallLimits m_limits;
     Recorder m_recorder;
@@ -137,8 +139,9 @@
     std::vector<Held> m_held;
     std::unordered_map<CallId, Call> m_calls;
     std::unordered_map<SendId, SendState> m_sends;
-    std::map<RouteName, std::unique_ptr<RouteState>> m_routes;
+    std::map<RouteName, std::unique_ptr<RouteMemory>> m_routes;
     RepeatBudgets m_repeats;
+    LoadGauge m_load; ///< Sends to targets.
     std::map<ServiceName, std::deque<std::pair<CallId, std::size_t>>> m_waiting;
     struct Timer {
         Instant at;
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -18,6 +18,10 @@
     constexpr double mostWaiting = 0.25;
     /// When room is expected after a refusal: connections come free within a few service times.
     constexpr Duration roomAfter = std::chrono::milliseconds(30);
+    /// A host that runs parts is given up after the larger of these: it answers by the objective if it can at all, and after half of the
+    /// caller's patience another try still helps the caller.
+    constexpr double delegateObjectives = 1.5;
+    constexpr double delegatePatience = 0.5;
     constexpr unsigned noTargetStatus = 503;
     constexpr unsigned brokenStatus = 502;
     constexpr unsigned lateStatus = 504;
@@ -50,8 +54,17 @@
 
 void CallRun::begin(CallEnvironment& environment, Instant now)
 {
-    for (std::size_t i = 0; i < m_parts.size() && !m_finished; ++i)
-        trySend(environment, i, false, now);
+    bool shardsGiven = m_request->delegation && !m_request->delegation->shards.empty();
+    if (m_route->fansOut() && !shardsGiven)
+        m_delegated = environment.delegate(now);
+    if (m_delegated) {
+        for (std::size_t part : m_delegated->parts)
+            m_parts[part].delegated = true;
+    }
+    for (std::size_t i = 0; i < m_parts.size() && !m_finished; ++i) {
+        if (!m_parts[i].delegated)
+            trySend(environment, i, false, now);
+    }
     settle(environment, now);
 }
 
@@ -133,6 +146,37 @@
     settle(environment, now);
 }
 
+void CallRun::failDelegated()
+{
+    for (std::size_t index : m_delegated->parts) {
+        m_parts[index].mayHaveRun = true;
+        fail(m_parts[index]);
+    }
+    m_delegated.reset();
+}
+
+void CallRun::delegateEnded(CallEnvironment& environment, TargetReply reply, Instant now)
+{
+    if (m_finished || !m_delegated)
+        return;
+    m_wakeChanged = true;
+    if (reply.end == TargetReply::End::NotSent || reply.notRun) {
+        auto group = *std::exchange(m_delegated, std::nullopt);
+        for (std::size_t index : group.parts) {
+            m_parts[index].delegated = false;
+            trySend(environment, index, false, now);
+        }
+    } else if (reply.end == TargetReply::End::Answered && success(reply.status) && reply.missingParts < m_delegated->parts.size()) {
+        m_doneParts += m_delegated->parts.size() - reply.missingParts;
+        m_failedParts += reply.missingParts;
+        m_groupReply = std::move(reply);
+        m_delegated.reset();
+    } else {
+        failDelegated();
+    }
+    settle(environment, now);
+}
+
 bool CallRun::mayHedge(const CallPart& part) const
 {
     return m_route->repeatable && !part.done && !part.failed && part.outstanding.size() == 1 && mayRepeat(part);
@@ -161,6 +205,10 @@
         finish(environment, now);
         return;
     }
+    if (m_delegated && now >= delegateEnd()) {
+        environment.release(m_delegated->send, now);
+        failDelegated();
+    }
     for (CallPart& part : m_parts) {
         if (part.waiting && now >= waitEnd())
             fail(part);
@@ -180,12 +228,21 @@
 
 bool CallRun::enough(std::size_t parts) const
 {
-    return parts > 0 && Fraction(static_cast<double>(parts) / static_cast<double>(m_parts.size())).reaches(m_route->minCoverage);
+    // Another host may have asked for some of the shards only; those that it has itself count as in.
+    std::size_t all = std::max(m_parts.size(), m_route->shards.size());
+    std::size_t missing = m_parts.size() - parts;
+    return parts > 0 && Fraction(static_cast<double>(all - missing) / static_cast<double>(all)).reaches(m_route->minCoverage);
 }
 
 Instant CallRun::answerBy() const
 {
-    return m_request->arrivedAt + scaled(m_route->objective, 1 - objectiveMarginPart) - objectiveMargin;
+    Duration spent = m_request->delegation ? m_request->delegation->spent : Duration(0);
+    return m_request->arrivedAt + scaled(m_route->objective, 1 - objectiveMarginPart) - objectiveMargin - spent;
+}
+
+Instant CallRun::delegateEnd() const
+{
+    return m_startedAt + std::max(scaled(m_route->objective, delegateObjectives), scaled(m_request->patience, delegatePatience));
 }
 
 Instant CallRun::waitEnd() const
@@ -211,6 +268,8 @@
 Instant CallRun::nextWake() const
 {
     Instant wake = m_deadline - answerMargin;
+    if (m_delegated)
+        wake = std::min(wake, delegateEnd());
     for (const CallPart& part : m_parts) {
         if (mayHedge(part))
             wake = std::min(wake, part.sentAt + m_late);
@@ -225,6 +284,10 @@
 void CallRun::finish(CallEnvironment& environment, Instant now)
 {
     m_finished = true;
+    if (m_delegated) {
+        environment.release(m_delegated->send, now);
+        failDelegated();
+    }
     for (CallPart& part : m_parts) {
         for (SendId send : part.outstanding) {
             part.mayHaveRun = true;
@@ -260,6 +323,10 @@
         return;
     }
     std::vector<std::string_view> bodies;
+    if (!m_groupReply.partStamps.empty()) {
+        bodies.push_back(m_groupReply.body);
+        m_answer.partStamps = m_groupReply.partStamps;
+    }
     for (const CallPart& part : m_parts) {
         if (!part.done)
             continue;
--- a/Pimentopoint/src/Serve/CallRun.h
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -5,6 +5,7 @@
 #include "TargetReply.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +25,14 @@
     /// \brief Sends the call to a target of part \a part that is not in its list of tried ones.
     /// \param extra whether the send draws on the budget of repeats
     virtual Obstacle send(std::size_t part, bool extra, Instant now) = 0;
+    /// Parts that another host runs for this one.
+    struct Group {
+        SendId send;
+        std::vector<std::size_t> parts;
+    };
+    /// \brief Sends some or all parts to a host that runs them for this one.
+    /// \returns nothing if this host is to run all of them
+    virtual std::optional<Group> delegate(Instant now) = 0;
     /// No answer of \a send is needed any more.
     virtual void release(SendId send, Instant now) = 0;
 };
@@ -35,6 +44,7 @@
     std::vector<SendId> outstanding;
     unsigned arrivals = 0; ///< Targets that were sent to, but for those that certainly got nothing.
     bool waiting = false; ///< For a connection.
+    bool delegated = false; ///< Another host answers for it, or did.
     bool done = false;
     bool failed = false;
     bool mayHaveRun = false;
@@ -46,7 +56,8 @@
 /// \ingroup Serve
 /// \brief One caller's request from its first send to its answer.
 /// \details Pins one routing table. A call is repeated at another target if it certainly did not run, or if its route allows
-/// repeats; within the route's attempts and the budget. A fan-out is answered when all shards are in; at the objective, if enough
+/// repeats; within the route's attempts and the budget. Parts of a fan-out, or all, may be run by another host, which answers for them together;
+/// if it certainly ran nothing, they are sent from here. A fan-out is answered when all shards are in; at the objective, if enough
 /// are in; at once, if enough can no longer come. Events in, calls to the environment out; reads no clock.
 class CallRun {
 public:
@@ -56,6 +67,8 @@
 
     void begin(CallEnvironment& environment, Instant now);
     void replied(CallEnvironment& environment, std::size_t part, SendId send, TargetReply reply, Instant now);
+    /// The host that runs parts for this one answered, or did not.
+    void delegateEnded(CallEnvironment& environment, TargetReply reply, Instant now);
     /// A connection to a target of part \a part is free.
     void resume(CallEnvironment& environment, std::size_t part, Instant now);
     void timer(CallEnvironment& environment, Instant now);
@@ -75,9 +88,12 @@
     const RoutingTable& routing() const { return *m_routing; }
     CallPart& part(std::size_t index) { return m_parts[index]; }
     const std::vector<CallPart>& parts() const { return m_parts; }
+    /// \returns the parts that another host runs, if one does and has not answered
+    const std::optional<CallEnvironment::Group>& delegated() const { return m_delegated; }
     unsigned extraSends() const { return m_extraSends; }
 
 private:
+    void failDelegated();
     void trySend(CallEnvironment& environment, std::size_t part, bool extra, Instant now);
     void retry(CallEnvironment& environment, std::size_t part, Instant now);
     void fail(CallPart& part);
@@ -92,6 +108,8 @@
     void answerFailure(const char* reason);
     /// When a fan-out with enough shards is answered.
     Instant answerBy() const;
+    /// When a host that was to run parts is given up.
+    Instant delegateEnd() const;
     /// When a part that found no connection is given up.
     Instant waitEnd() const;
 
@@ -106,6 +124,8 @@
     std::size_t m_doneParts = 0;
     std::size_t m_failedParts = 0;
     unsigned m_extraSends = 0;
+    std::optional<CallEnvironment::Group> m_delegated;
+    TargetReply m_groupReply; ///< Of the host that ran parts.
     const char* m_gaveUp = nullptr; ///< Why the call ended before its parts did; null if it did not.
     bool m_finished = false;
     CallerAnswer m_answer;
--- a/Pimentopoint/src/Serve/HostCount.h
+++ b/Pimentopoint/src/Serve/HostCount.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <utility>
 
 namespace pimentopoint {
 
@@ -20,21 +21,28 @@
     {
     }
 
-    /// Notes that \a hosts, this one included, are in sight.
-    void seen(std::size_t hosts, Instant now)
+    /// Notes that \a hosts, this one included, are in sight, with \a cores of processor time together.
+    void seen(std::size_t hosts, double cores, Instant now)
     {
         if (now - m_turnedAt >= memory) {
-            m_before = m_most;
-            m_most = 0;
+            m_before = std::exchange(m_most, {});
             m_turnedAt = now;
         }
-        m_most = std::max(m_most, hosts);
+        m_most.hosts = std::max(m_most.hosts, hosts);
+        m_most.cores = std::max(m_most.cores, cores);
     }
     std::size_t value(Instant now) const
     {
-        std::size_t most = std::max<std::size_t>({ 1, m_most, m_before });
+        std::size_t most = std::max<std::size_t>({ 1, m_most.hosts, m_before.hosts });
         return now - m_start < meetingTime ? std::max(most, assumed) : most;
     }
+    /// \returns the part that a host with \a ownCores has of what is divided by processor time
+    double share(double ownCores, Instant now) const
+    {
+        double most = std::max({ ownCores, m_most.cores, m_before.cores });
+        double least = now - m_start < meetingTime ? static_cast<double>(assumed) * ownCores : 0;
+        return ownCores / std::max(most, least);
+    }
 
 private:
     /// Two periods of the membership protocol; a fleet that starts knows itself after a fraction of one.
@@ -46,8 +54,12 @@
 
     Instant m_start;
     Instant m_turnedAt;
-    std::size_t m_most = 0;
-    std::size_t m_before = 0;
+    struct Seen {
+        std::size_t hosts = 0;
+        double cores = 0;
+    };
+    Seen m_most;
+    Seen m_before;
 };
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Serve/HostSettings.cpp
+++ b/Pimentopoint/src/Serve/HostSettings.cpp
@@ -13,19 +13,23 @@
     constexpr Duration shortest = std::chrono::milliseconds(100);
     constexpr Duration longest = std::chrono::minutes(10);
     constexpr double mostSlack = 1e6;
+    constexpr double leastProcessor = 0.001;
+    constexpr double mostCores = 1024;
     Problems problems = internal::checkStructure(text);
     if (!problems.empty())
         throw InvalidDocument(source, problems);
     internal::DocumentReader root(YAML::Load(text), "", problems);
-    root.allowKeys({ "name", "dataCentre", "listen", "members", "platform", "descriptors", "times", "repeats", "logLevel" });
+    root.allowKeys({ "name", "dataCentre", "listen", "members", "platform", "descriptors", "processor", "times", "repeats", "logLevel" });
     HostSettings settings;
     settings.name = MemberName(root.text("name"));
     settings.dataCentre = DataCentreName(root.text("dataCentre"));
     root.section("listen", [&](internal::DocumentReader& listen) {
-        listen.allowKeys({ "callers", "readiness", "members" });
+        listen.allowKeys({ "callers", "readiness", "members", "aggregation" });
         settings.callers = listen.endpoint("callers");
         settings.readiness = listen.endpoint("readiness");
         settings.members = listen.endpoint("members");
+        if (listen.has("aggregation"))
+            settings.aggregation = listen.endpoint("aggregation");
     });
     root.eachScalar("members", [&](const std::string& value, int line, const std::string& path) {
         auto endpoint = Endpoint::parse(value);
@@ -36,6 +40,12 @@
     });
     settings.platform = root.endpoint("platform");
     settings.descriptors = root.number("descriptors", leastDescriptors, mostDescriptors, settings.descriptors);
+    if (root.has("processor")) {
+        root.section("processor", [&](internal::DocumentReader& processor) {
+            processor.allowKeys({ "cores", "share" });
+            settings.cores = processor.real("cores", leastProcessor, mostCores, 1) * processor.real("share", leastProcessor, 1, 1);
+        });
+    }
     if (root.has("times")) {
         root.section("times", [&](internal::DocumentReader& times) {
             times.allowKeys({ "stop", "news", "leaving" });
--- a/Pimentopoint/src/Serve/HostSettings.h
+++ b/Pimentopoint/src/Serve/HostSettings.h
@@ -4,6 +4,7 @@
 #include "../Core/Endpoint.h"
 #include "../Core/Ids.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,8 @@
     Endpoint callers; ///< Where callers connect.
     Endpoint readiness; ///< Where a balancer asks whether callers may connect, and where metrics are read.
     Endpoint members; ///< UDP, between hosts.
+    std::optional<Endpoint> aggregation; ///< Where other hosts send fan-outs that this one runs for them; nothing: it runs none.
+    double cores = 1; ///< Processor time that this host has.
     std::vector<Endpoint> seeds; ///< Hosts to ask first.
     Endpoint platform; ///< The platform's store.
     std::size_t descriptors = 1024; ///< Most sockets and files.
--- /dev/null
+++ b/Pimentopoint/src/Serve/RouteMemory.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "../Caller/LatencyWindow.h"
+#include "RoutePolicy.h"
+#include "ShardReach.h"
+
+#include <map>
+
+namespace pimentopoint {
+
+/// \class RouteMemory
+/// \ingroup Serve
+/// \brief What this host has learnt of a route: how long its targets take, and whose turn it is among weighted services.
+class RouteMemory {
+public:
+    RouteMemory();
+
+    /// \returns the time after which a send counts as late
+    Duration lateAfter(const RoutePolicy& route) const;
+    /// \returns the usual time of a send
+    Duration expected(const RoutePolicy& route) const;
+    /// Notes that a send that was late after \a late was answered after \a taken.
+    void answered(Duration taken, Duration late);
+    /// Notes that a send was given up after \a taken.
+    void abandoned(Duration taken) { m_latencies.add(taken); }
+    /// \returns the service whose turn it is, by the weights of \a route
+    ServiceName nextService(const RoutePolicy& route);
+
+    ShardReach reach; ///< Of the route's shards, as of reachAt.
+    Instant reachAt = Instant::min();
+
+private:
+    LatencyWindow m_latencies;
+    double m_mean = 0; ///< Microseconds; 0 before the first reply.
+    std::map<ServiceName, double> m_turns;
+};
+
+} // namespace pimentopoint
--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -98,7 +98,7 @@
 void TargetPool::applyPolicy(const ServiceName& service, Group& group) const
 {
     const ServicePolicy* policy = m_routing ? m_routing->service(service) : nullptr;
-    group.connectionLimit = policy ? std::max<std::size_t>(1, static_cast<std::size_t>(policy->maxConnections * usableConnections) / m_hosts) : 1;
+    group.connectionLimit = policy ? std::max<std::size_t>(1, static_cast<std::size_t>(policy->maxConnections * usableConnections * m_connectionShare)) : 1;
     group.coldRequestsPerSecond = policy ? policy->coldRequestsPerSecond : 0;
     group.roomForAll = group.connectionLimit > 1;
     group.inUse = m_used.contains(service);
@@ -122,12 +122,13 @@
     applyPolicies();
 }
 
-void TargetPool::setHosts(std::size_t hosts)
+void TargetPool::setShares(std::size_t hosts, double connections)
 {
-    std::size_t shared = hosts ? hosts : 1;
-    if (shared == m_hosts)
+    std::size_t shared = std::max<std::size_t>(1, hosts);
+    if (shared == m_hosts && connections == m_connectionShare)
         return;
     m_hosts = shared;
+    m_connectionShare = connections;
     applyPolicies();
 }
 
@@ -314,6 +315,29 @@
     return choices;
 }
 
+ShardReach TargetPool::reach(const std::vector<ServiceName>& services, Instant now) const
+{
+    ShardReach reach;
+    for (std::size_t i = 0; i < services.size(); ++i) {
+        auto found = m_groups.find(services[i]);
+        if (found == m_groups.end())
+            continue;
+        std::set<DataCentreName> dataCentres;
+        for (const State* state : found->second.targets) {
+            if (mayLead(*state, now) && !state->leavingSince && now >= state->avoidUntil)
+                dataCentres.insert(state->target.dataCentre);
+        }
+        bool away = !dataCentres.empty() && !dataCentres.contains(m_home);
+        if (away)
+            reach.away.push_back(i);
+        for (const DataCentreName& dataCentre : dataCentres) {
+            ++reach.shards[dataCentre];
+            reach.awayShards[dataCentre] += away;
+        }
+    }
+    return reach;
+}
+
 void TargetPool::forget(Instant now)
 {
     for (auto each = m_targets.begin(); each != m_targets.end();) {
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -3,6 +3,7 @@
 #include "../Core/Random.h"
 #include "DiscoveredTarget.h"
 #include "RoutingTable.h"
+#include "ShardReach.h"
 #include "TargetReply.h"
 
 #include <functional>
@@ -54,8 +55,8 @@
     /// Sets the data centres whose targets get nothing.
     void setExcluded(std::set<DataCentreName> excluded) { m_excluded = std::move(excluded); }
     void setRouting(RoutingTablePointer routing);
-    /// Sets how many hosts share the connections of the targets.
-    void setHosts(std::size_t hosts);
+    /// Sets by how many hosts what a cold target tolerates is divided, and this host's part of the connections of each target.
+    void setShares(std::size_t hosts, double connections);
 
     /// \returns the best target of \a service that is not in \a tried, or nothing and the reason in \a shortage
     std::optional<Choice> choose(const ServiceName& service, const std::vector<TargetName>& tried, Instant now, Shortage& shortage);
@@ -71,6 +72,8 @@
     /// \details Of each service in the routing table one target, at home if there is one; others while all hosts together stay far
     /// below the connections that a target accepts.
     std::vector<Choice> unconnected(std::size_t most, Instant now);
+    /// \returns where \a services have targets that nothing speaks against
+    ShardReach reach(const std::vector<ServiceName>& services, Instant now) const;
     /// Drops targets that left long ago.
     void forget(Instant now);
     std::size_t size() const { return m_targets.size(); }
@@ -125,6 +128,7 @@
     RoutingTablePointer m_routing;
     std::set<DataCentreName> m_excluded;
     std::size_t m_hosts = 1;
+    double m_connectionShare = 1; ///< This host's part of the connections of a target.
     std::set<ServiceName> m_used; ///< Services that routes name.
     std::map<TargetName, State> m_targets;
     std::unordered_map<ServiceName, Group> m_groups;
--- a/Pimentopoint/src/Serve/TargetReply.h
+++ b/Pimentopoint/src/Serve/TargetReply.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "../Core/Clock.h"
+#include "../Core/Ids.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,9 +28,19 @@
     std::string stamp; ///< The target's signature of the answer; empty if it has none.
     HeaderList headers; ///< Those for the caller.
     std::string body;
+    std::string partStamps; ///< Of an aggregating host: the signatures of the parts, separated by commas.
+    unsigned missingParts = 0; ///< Of an aggregating host: shards left out.
+    Duration took { 0 }; ///< Of an aggregating host: its own time for the answer.
     const char* cause = ""; ///< Why there is no answer.
 };
 
+/// What a host tells another one that is to run a fan-out for it.
+struct Delegation {
+    ConfigurationVersion version; ///< In force at the sender; a host with another one refuses.
+    Duration spent { 0 }; ///< Of the caller's time: before the request was sent, and on the ways there and back.
+    std::vector<std::size_t> shards; ///< Indexes of the route's shards that are asked for; empty: all.
+};
+
 /// A caller's request, read whole.
 struct CallerRequest {
     std::string id; ///< As the caller sent it; one for each attempt of the caller.
@@ -39,6 +51,7 @@
     std::string body;
     Duration patience { 0 }; ///< How long the caller waits, from when the request was read.
     Instant arrivedAt {};
+    std::optional<Delegation> delegation; ///< Set if another host sent it, to be run for its caller.
 };
 
 /// What goes back to a caller.
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -28,6 +28,12 @@
     constexpr double ratioUse = 0.65;
     /// Connections opened ahead of need in one tick; each holds a slot of its target for a moment and costs some tenths of a millisecond of core.
     constexpr std::size_t connectionsAhead = 2;
+    /// Part of a host's processor time above which fan-outs of other hosts are refused; the rest is for its own callers and a burst.
+    constexpr double delegatedUse = 0.5;
+    /// Processor time of a sub-query, as the users' bench charges it (48 us) with some room.
+    constexpr Duration sendCost = std::chrono::microseconds(60);
+    /// Connections of other hosts: a large data centre, several at a time each.
+    constexpr std::size_t mostHostCallers = 1024;
     constexpr unsigned readinessThreads = 2;
     constexpr std::size_t readinessBodyBytes = 1024;
     constexpr unsigned unavailable = 503;
@@ -38,6 +44,7 @@
         limits.repeats.share = Fraction(settings.repeatRatio * ratioUse);
         limits.repeats.slack = settings.repeatSlack;
         limits.repeats.window = settings.repeatWindow;
+        limits.delegatedSends = settings.cores * delegatedUse / std::chrono::duration<double>(sendCost).count();
         return limits;
     }
 
@@ -51,7 +58,9 @@
     MemberRecord selfRecord(const HostSettings& settings)
     {
         MemberRecord record(settings.name, MemberRole::Front, settings.dataCentre, newIncarnation());
-        record.setEndpoints(settings.members, settings.members, settings.callers);
+        record.setEndpoints(settings.members, settings.members, settings.aggregation.value_or(Endpoint()));
+        constexpr double millicores = 1000;
+        record.setMillicores(static_cast<std::uint32_t>(settings.cores * millicores));
         return record;
     }
 
@@ -70,7 +79,9 @@
     , m_callTimer(m_context)
     , m_pool(m_settings.dataCentre, poolTiming(m_settings), seedOf(m_settings, "targets"),
           [](const TargetName& target, std::string_view event, std::string_view detail) { Log::event(Severity::Info, event, { { "target", target }, { "cause", detail } }); })
-    , m_engine(m_pool, m_metrics, limitsFrom(m_settings), [this](const CallRecord& each) { record(each); })
+    , m_aggregators(selfRecord(m_settings),
+          [](const MemberName& host, std::string_view event, std::string_view cause) { Log::event(Severity::Info, event, { { "aggregator", host }, { "cause", cause } }); })
+    , m_engine(m_pool, m_aggregators, m_metrics, limitsFrom(m_settings), [this](const CallRecord& each) { record(each); })
     , m_targets(
           m_context, m_clock, platform::headerDialect(), m_metrics,
           [this](SendId send, TargetReply reply) {
@@ -80,23 +91,15 @@
           },
           [this](const TargetName& target, std::size_t open) { m_pool.setConnections(target, open, m_clock.now()); })
     , m_callers(m_context, m_clock, platform::headerDialect(), m_settings.callers, m_settings.descriptors - std::min(m_settings.descriptors / 2, ownDescriptors),
-          { [this](CallId call, std::shared_ptr<const CallerRequest> request) {
-               CallActions actions;
-               m_engine.begin(call, std::move(request), m_clock.now(), actions);
-               perform(actions);
-           },
-              [this](CallId call) {
-                  CallActions actions;
-                  m_engine.callerLeft(call, m_clock.now(), actions);
-                  perform(actions);
-              },
-              [this] { return m_engine.routing() ? m_engine.routing()->limits() : CallerLimits(); } })
+          callerHooks(false))
     , m_membership(selfRecord(m_settings), m_settings.seeds, MembershipTiming(), seedOf(m_settings, "members"))
     , m_members(m_context, m_clock, m_settings.members, m_membership, [this] { countHosts(); })
     , m_hosts(m_clock.now())
     , m_feed(m_context, m_clock, m_metrics, m_membership.self(), { m_settings.platform, m_settings.members, m_settings.newsTime, seedOf(m_settings, "news") },
           { platform::storePath, platform::storeResult, [this](const std::vector<StoreItem>& items) { takeNews(items); } })
 {
+    if (m_settings.aggregation)
+        m_hostCallers.emplace(m_context, m_clock, platform::headerDialect(), *m_settings.aggregation, mostHostCallers, callerHooks(true));
     m_readiness = std::make_unique<HttpServer>(m_settings.readiness, readinessThreads, readinessBodyBytes, [this](const HttpRequest& request) -> HttpResponse {
         if (request.path == platform::headerDialect().readinessPath)
             return m_ready ? HttpResponse { 200, "{\"state\":\"ready\"}" } : HttpResponse { unavailable, "{\"state\":\"not-ready\"}" };
@@ -107,6 +110,25 @@
     });
 }
 
+CallerServer::Hooks EdgeHost::callerHooks(bool fromHosts)
+{
+    CallerServer::Hooks hooks;
+    hooks.request = [this](CallId call, std::shared_ptr<const CallerRequest> request) {
+        CallActions actions;
+        m_engine.begin(call, std::move(request), m_clock.now(), actions);
+        perform(actions);
+    };
+    hooks.left = [this](CallId call) {
+        CallActions actions;
+        m_engine.callerLeft(call, m_clock.now(), actions);
+        perform(actions);
+    };
+    hooks.limits = [this] { return m_engine.routing() ? m_engine.routing()->limits() : CallerLimits(); };
+    hooks.nextCall = [this] { return CallId(++m_lastCall); };
+    hooks.fromHosts = fromHosts;
+    return hooks;
+}
+
 void EdgeHost::run()
 {
     Log::event(Severity::Info, "started", { { "callers", m_settings.callers.text() }, { "platform", m_settings.platform.text() } });
@@ -139,6 +161,8 @@
     m_stopSince = m_clock.now();
     m_ready = false;
     m_callers.beginDrain();
+    if (m_hostCallers)
+        m_hostCallers->beginDrain();
     m_members.leave();
     Log::event(Severity::Info, "stopping", { { "connections", std::uint64_t(m_callers.connections()) }, { "calls", std::uint64_t(m_engine.calls()) } });
 }
@@ -180,6 +204,8 @@
             m_linesDropped = 0;
         }
         m_callers.check(now);
+        if (m_hostCallers)
+            m_hostCallers->check(now);
         m_targets.sweep(now);
         m_pool.forget(now);
         countHosts();
@@ -203,7 +229,7 @@
         Duration since = now - *m_stopSince;
         if (since > balancerTime)
             m_callers.closeIdle();
-        bool quiet = since > balancerTime && !m_callers.connections();
+        bool quiet = since > balancerTime && !m_callers.connections() && (!m_hostCallers || m_hostCallers->idle());
         if (since > m_settings.stopTime - lastAnswers) {
             CallActions actions;
             m_engine.expireAll(now, actions);
@@ -246,7 +272,8 @@
     for (SendId send : actions.aborts)
         m_targets.abort(send);
     for (auto& answer : actions.answers)
-        m_callers.answer(answer.call, answer.answer);
+        if (!m_callers.answer(answer.call, answer.answer) && m_hostCallers)
+            m_hostCallers->answer(answer.call, answer.answer);
     armTimer();
 }
 
@@ -299,9 +326,15 @@
 void EdgeHost::countHosts()
 {
     Instant now = m_clock.now();
-    m_feed.setMembers(m_membership.members());
-    m_hosts.seen(m_membership.usableCount() + 1, now);
-    m_pool.setHosts(m_hosts.value(now));
+    std::vector<MemberRecord> members = m_membership.members();
+    constexpr double millicores = 1000;
+    double cores = m_settings.cores;
+    for (const MemberRecord& member : members)
+        cores += member.usable() ? member.millicores() / millicores : 0;
+    m_hosts.seen(m_membership.usableCount() + 1, cores, now);
+    m_pool.setShares(m_hosts.value(now), m_hosts.share(m_settings.cores, now));
+    m_aggregators.setMembers(members);
+    m_feed.setMembers(std::move(members));
     m_engine.setHosts(m_hosts.value(now));
     m_metrics.setGauge("pimentopoint_hosts", "", m_hosts.value(now));
 }
@@ -321,7 +354,7 @@
     Log::event(Severity::Info, "call",
         { { "id", record.request.id }, { "route", record.route }, { "version", record.version }, { "status", std::uint64_t(record.status) }, { "cause", record.reason },
             { "tookMicroseconds", static_cast<std::uint64_t>(record.taken.count()) }, { "missingParts", std::uint64_t(record.missingParts) },
-            { "extraSends", std::uint64_t(record.extraSends) }, { "lastTarget", record.lastTarget }, { "lateAfterMicroseconds", static_cast<std::uint64_t>(record.lateAfter.count()) } });
+            { "extraSends", std::uint64_t(record.extraSends) }, { "lastTarget", record.lastTarget }, { "aggregator", record.aggregator }, { "forHost", std::uint64_t(record.request.delegation.has_value()) }, { "lateAfterMicroseconds", static_cast<std::uint64_t>(record.lateAfter.count()) } });
 }
 
 } // namespace pimentopoint
--- a/daemons/EdgeHost.h
+++ b/daemons/EdgeHost.h
@@ -42,6 +42,7 @@
     void apply(const StoreItem& item);
     void takeRouting(RoutingTable::Parts parts);
     void countHosts();
+    CallerServer::Hooks callerHooks(bool fromHosts);
     void record(const CallRecord& record);
     bool known() const;
 
@@ -56,9 +57,12 @@
     boost::asio::steady_timer m_callTimer;
     std::optional<Instant> m_callWake;
     TargetPool m_pool;
+    AggregatorPool m_aggregators;
     CallEngine m_engine;
     TargetLinks m_targets;
+    std::uint64_t m_lastCall = 0;
     CallerServer m_callers;
+    std::optional<CallerServer> m_hostCallers; ///< Hosts whose fan-outs are run here.
     Membership m_membership;
     MemberSocket m_members;
     HostCount m_hosts;
--- a/test/CallTest.cpp
+++ b/test/CallTest.cpp
@@ -305,7 +305,8 @@
     Metrics metrics;
     TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
     std::vector<std::string> reasons;
-    CallEngine engine(pool, metrics, CallLimits(), [&](const CallRecord& record) { reasons.emplace_back(record.reason); });
+    AggregatorPool aggregators = noAggregators();
+    CallEngine engine(pool, aggregators, metrics, CallLimits(), [&](const CallRecord& record) { reasons.emplace_back(record.reason); });
     auto request = [](int patience) {
         auto made = std::make_shared<CallerRequest>();
         made->host = "single.example";
@@ -378,7 +379,8 @@
 {
     Metrics metrics;
     TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
-    CallEngine engine(pool, metrics, CallLimits(), [](const CallRecord&) {});
+    AggregatorPool aggregators = noAggregators();
+    CallEngine engine(pool, aggregators, metrics, CallLimits(), [](const CallRecord&) {});
     CallActions actions;
     auto request = std::make_shared<CallerRequest>();
     request->target = "/";
@@ -397,7 +399,8 @@
 {
     Metrics metrics;
     TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
-    CallEngine engine(pool, metrics, CallLimits(), [](const CallRecord&) {});
+    AggregatorPool aggregators = noAggregators();
+    CallEngine engine(pool, aggregators, metrics, CallLimits(), [](const CallRecord&) {});
     CallActions actions;
     auto request = std::make_shared<CallerRequest>();
     request->host = "single.example";
--- a/test/PoolTest.cpp
+++ b/test/PoolTest.cpp
@@ -143,7 +143,7 @@
     for (const Case& each : { Case { 26, 8 }, Case { 46, 8 }, Case { 62, 61 }, Case { 410, 58 }, Case { 100, 3 } }) {
         Pool fleet;
         fleet.setPolicy(each.connections, 0);
-        fleet.pool.setHosts(each.hosts);
+        fleet.pool.setShares(each.hosts, 1.0 / static_cast<double>(each.hosts));
         fleet.pool.put(targetOf("one", 1), millisecond(0));
         std::size_t sent = 0;
         while (auto choice = fleet.choose(0)) {
@@ -183,7 +183,7 @@
             };
             // The fleet has been up for long; only hosts that start anew do not know it.
             HostCount count(millisecond(-60000));
-            count.seen(each.hosts, millisecond(-1000));
+            count.seen(each.hosts, each.hosts, millisecond(-1000));
             auto fleet = begin(0);
             constexpr int restartAt = 20000;
             bool restarted = false;
@@ -194,8 +194,8 @@
                     count = HostCount(millisecond(time));
                 }
                 bool alone = restarted && time < restartAt + 1000;
-                count.seen(alone ? 1 : each.hosts, millisecond(time));
-                fleet->pool.setHosts(count.value(millisecond(time)));
+                count.seen(alone ? 1 : each.hosts, alone ? 1 : each.hosts, millisecond(time));
+                fleet->pool.setShares(count.value(millisecond(time)), count.share(1, millisecond(time)));
                 if (time >= each.demandFrom && !fleet->exchange(time, ServeFleet::ok("x"), 0).value().empty())
                     times.insert(time);
             }
@@ -212,17 +212,17 @@
 TEST_CASE("the number of hosts is what was seen of late, and a cautious guess at the start")
 {
     HostCount count(millisecond(0));
-    count.seen(1, millisecond(100));
+    count.seen(1, 1, millisecond(100));
     CHECK(count.value(millisecond(100)) >= 60);
-    count.seen(8, millisecond(1000));
+    count.seen(8, 8, millisecond(1000));
     CHECK(count.value(millisecond(3000)) == 8);
     // A cut hides hosts that may still send.
-    count.seen(3, millisecond(5000));
+    count.seen(3, 3, millisecond(5000));
     CHECK(count.value(millisecond(5000)) == 8);
     for (int time = 5000; time <= 150000; time += 1000)
-        count.seen(3, millisecond(time));
+        count.seen(3, 3, millisecond(time));
     CHECK(count.value(millisecond(150000)) == 3);
-    count.seen(400, millisecond(151000));
+    count.seen(400, 400, millisecond(151000));
     CHECK(count.value(millisecond(151000)) == 400);
 }
 
@@ -231,7 +231,7 @@
     for (std::size_t hosts : { 4U, 60U }) {
         Pool fleet;
         fleet.setPolicy(62, 0);
-        fleet.pool.setHosts(hosts);
+        fleet.pool.setShares(hosts, 1.0 / static_cast<double>(hosts));
         fleet.pool.put(targetOf("one", 1), millisecond(0));
         fleet.pool.put(targetOf("one", 2, "b"), millisecond(0));
         std::set<TargetName> opened;
--- a/test/ServeFakes.h
+++ b/test/ServeFakes.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <Pimentopoint/Core>
+#include <Pimentopoint/Peer>
 #include <Pimentopoint/Serve>
 #include <map>
 #include <set>
@@ -53,12 +54,19 @@
     return route;
 }
 
+/// \returns a pool of the host "self" in data centre "a" that knows no other host
+inline AggregatorPool noAggregators()
+{
+    return { MemberRecord(MemberName("self"), MemberRole::Front, DataCentreName("a"), Incarnation(1)), [](const MemberName&, std::string_view, std::string_view) {} };
+}
+
 /// An engine with its pool; keeps the sends that are at work and the answers given.
 class ServeFleet {
 public:
     explicit ServeFleet(std::vector<RoutePolicy> routes, unsigned maxConnections = 8, double coldRate = 0, CallLimits limits = CallLimits())
         : pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {})
-        , engine(pool, metrics, limits, [this](const CallRecord& record) { reasons.emplace_back(record.reason); })
+        , aggregators(noAggregators())
+        , engine(pool, aggregators, metrics, limits, [this](const CallRecord& record) { reasons.emplace_back(record.reason); })
     {
         setRoutes(std::move(routes), maxConnections, 1, coldRate);
         CallActions none;
@@ -158,6 +166,7 @@
 
     Metrics metrics;
     TargetPool pool;
+    AggregatorPool aggregators;
     std::vector<std::string> reasons;
     CallEngine engine;
     std::map<SendId, CallActions::Send> sends;
