Divide connections by who uses them, and let parts wait for one while others run

A host without power cost each reader a call at 0.3, 0.9 and 2.1 s. Ruled out: fewer retries (the failed calls had made 0 or 1). Change: connections to the targets of fan-outs are divided by weight (processor time; a quarter for hosts that give their fan-outs away); a part that finds none waits while others were sent; a host that lost a call is left alone for 4 s.

--- a/Pimentopoint/src/Serve/AggregatorPool.cpp
+++ b/Pimentopoint/src/Serve/AggregatorPool.cpp
@@ -20,10 +20,10 @@
     constexpr double strongPart = 0.5;
     /// Fan-outs of this host at one aggregating host at a time; further ones go to the next. One at work is some ten thousand bytes of answers.
     constexpr std::size_t mostAtOnce = 8;
-    /// After a failure: a host that was killed is back after about a second, one that is cut off after several.
-    constexpr Duration firstBackoff = std::chrono::milliseconds(300);
-    constexpr Duration longestBackoff = std::chrono::seconds(3);
-    constexpr unsigned mostDoublings = 4;
+    /// After an attempt that cost nothing but its time: a host that was killed is back after about a second.
+    constexpr Duration unreachableBackoff = std::chrono::milliseconds(500);
+    /// After a call was lost: longer than membership takes to notice a host that is gone; another host, or this one, serves meanwhile.
+    constexpr Duration silentBackoff = std::chrono::seconds(4);
     /// After a refusal: it is busy, or knows another version for the time that news takes.
     constexpr Duration refusedBackoff = std::chrono::milliseconds(200);
     /// Weight of the latest answer in what is learnt of the ways.
@@ -39,8 +39,28 @@
         return most;
     }
 
+    /// Part of its weight that a host keeps which gives its fan-outs away; it runs them itself only while no stronger host answers.
+    constexpr double spareWeight = 0.25;
+
 } // namespace
 
+ConnectionWeights connectionWeights(const MemberRecord& self, const std::vector<MemberRecord>& members)
+{
+    std::map<DataCentreName, std::uint32_t> strongest { { self.dataCentre(), self.millicores() } };
+    for (const MemberRecord& member : members) {
+        if (member.usable())
+            strongest[member.dataCentre()] = std::max(strongest[member.dataCentre()], member.millicores());
+    }
+    auto weight = [&](const MemberRecord& host) {
+        bool givesAway = strongest[host.dataCentre()] >= muchStronger * host.millicores();
+        return host.millicores() * (givesAway ? spareWeight : 1);
+    };
+    ConnectionWeights weights { weight(self), weight(self) };
+    for (const MemberRecord& member : members)
+        weights.all += member.usable() ? weight(member) : 0;
+    return weights;
+}
+
 AggregatorPool::AggregatorPool(MemberRecord self, Observer observer)
     : m_self(std::move(self))
     , m_observer(std::move(observer))
@@ -144,10 +164,14 @@
     return taken;
 }
 
-void AggregatorPool::doubt(Host& host, std::string_view why, Instant now)
+void AggregatorPool::avoid(Host& host, Duration backoff, Instant now)
 {
-    Duration backoff = std::min(longestBackoff, firstBackoff * (1U << std::min(host.failures, mostDoublings)));
     host.avoidUntil = std::max(host.avoidUntil, now + backoff);
+}
+
+void AggregatorPool::doubt(Host& host, Duration backoff, std::string_view why, Instant now)
+{
+    avoid(host, backoff, now);
     if (++host.failures == 1)
         m_observer(host.record.name(), "aggregator-doubted", why);
 }
@@ -159,17 +183,17 @@
         return;
     Host& host = m_hosts.at(name);
     if (reply.end != TargetReply::End::Answered) {
-        doubt(host, reply.cause, now);
+        doubt(host, reply.end == TargetReply::End::NotSent ? unreachableBackoff : silentBackoff, reply.cause, now);
         return;
     }
     if (reply.notRun) {
-        host.avoidUntil = std::max(host.avoidUntil, now + refusedBackoff);
+        avoid(host, refusedBackoff, now);
         return;
     }
     Duration ways = std::max(Duration(0), now - exchange->sentAt - reply.took);
     host.ways = host.ways ? *host.ways + scaled(ways - *host.ways, waysRate) : ways;
     if (ways > scaled(exchange->dueAt - exchange->sentAt, mostWays)) {
-        doubt(host, "its answer was long on the way", now);
+        doubt(host, unreachableBackoff, "its answer was long on the way", now);
         return;
     }
     if (host.failures)
@@ -180,7 +204,7 @@
 void AggregatorPool::abandoned(const MemberName& name, SendId send, bool silent, Instant now)
 {
     if (take(name, send) && silent)
-        doubt(m_hosts.at(name), "it did not answer", now);
+        doubt(m_hosts.at(name), silentBackoff, "it did not answer", now);
 }
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Serve/AggregatorPool.h
+++ b/Pimentopoint/src/Serve/AggregatorPool.h
@@ -14,6 +14,14 @@
 
 namespace pimentopoint {
 
+/// By what connections to the targets of fan-outs are divided among hosts.
+struct ConnectionWeights {
+    double own = 1;
+    double all = 1; ///< Of all hosts in sight, this one included.
+};
+/// \returns the weights by processor time; hosts that give their fan-outs to a stronger one at home count for little
+ConnectionWeights connectionWeights(const MemberRecord& self, const std::vector<MemberRecord>& members);
+
 /// \class AggregatorPool
 /// \ingroup Serve
 /// \brief The choice of a host that runs a fan-out, or some shards of it, for this one.
@@ -72,7 +80,8 @@
     std::optional<Choice> elsewhere(Scope scope, const std::map<DataCentreName, std::size_t>& shards, Instant now) const;
     std::optional<Choice> strongerAtHome(Instant now) const;
     bool free(const Host& host, Instant now) const;
-    void doubt(Host& host, std::string_view why, Instant now);
+    static void avoid(Host& host, Duration backoff, Instant now);
+    void doubt(Host& host, Duration backoff, std::string_view why, Instant now);
     std::optional<Outstanding> take(const MemberName& name, SendId send);
 
     MemberRecord m_self;
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -14,7 +14,8 @@
     /// new connection, and a part for what a busy host takes to merge and send.
     constexpr Duration objectiveMargin = std::chrono::milliseconds(8);
     constexpr double objectiveMarginPart = 0.1;
-    /// Part of the objective after which a call that found no connection is refused: later the caller can't be served in time by another try.
+    /// Part of the objective after which a call none of whose parts found a connection is refused: later the caller can't be served in time by
+    /// another try. Once a part was sent there is nothing to refuse, and the others wait as long as their answer may still count.
     constexpr double mostWaiting = 0.25;
     /// When room is expected after a refusal: connections come free within a few service times.
     constexpr Duration roomAfter = std::chrono::milliseconds(30);
@@ -247,6 +248,9 @@
 
 Instant CallRun::waitEnd() const
 {
+    bool anySent = m_delegated || std::any_of(m_parts.begin(), m_parts.end(), [](const CallPart& part) { return part.arrivals > 0; });
+    if (anySent)
+        return m_deadline;
     return m_startedAt + scaled(m_route->objective, mostWaiting);
 }
 
--- a/Pimentopoint/src/Serve/HostCount.h
+++ b/Pimentopoint/src/Serve/HostCount.h
@@ -21,27 +21,27 @@
     {
     }
 
-    /// Notes that \a hosts, this one included, are in sight, with \a cores of processor time together.
-    void seen(std::size_t hosts, double cores, Instant now)
+    /// Notes that \a hosts, this one included, are in sight, with \a weights together.
+    void seen(std::size_t hosts, double weights, Instant now)
     {
         if (now - m_turnedAt >= memory) {
             m_before = std::exchange(m_most, {});
             m_turnedAt = now;
         }
         m_most.hosts = std::max(m_most.hosts, hosts);
-        m_most.cores = std::max(m_most.cores, cores);
+        m_most.weights = std::max(m_most.weights, weights);
     }
     std::size_t value(Instant now) const
     {
         std::size_t most = std::max<std::size_t>({ 1, m_most.hosts, m_before.hosts });
         return now - m_start < meetingTime ? std::max(most, assumed) : most;
     }
-    /// \returns the part that a host with \a ownCores has of what is divided by processor time
-    double share(double ownCores, Instant now) const
+    /// \returns the part that a host of weight \a own has of what is divided by weight
+    double share(double own, Instant now) const
     {
-        double most = std::max({ ownCores, m_most.cores, m_before.cores });
-        double least = now - m_start < meetingTime ? static_cast<double>(assumed) * ownCores : 0;
-        return ownCores / std::max(most, least);
+        double most = std::max({ own, m_most.weights, m_before.weights });
+        double least = now - m_start < meetingTime ? static_cast<double>(assumed) * own : 0;
+        return own / std::max(most, least);
     }
 
 private:
@@ -56,7 +56,7 @@
     Instant m_turnedAt;
     struct Seen {
         std::size_t hosts = 0;
-        double cores = 0;
+        double weights = 0;
     };
     Seen m_most;
     Seen m_before;
--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -98,7 +98,8 @@
 void TargetPool::applyPolicy(const ServiceName& service, Group& group) const
 {
     const ServicePolicy* policy = m_routing ? m_routing->service(service) : nullptr;
-    group.connectionLimit = policy ? std::max<std::size_t>(1, static_cast<std::size_t>(policy->maxConnections * usableConnections * m_connectionShare)) : 1;
+    double share = m_shards.contains(service) ? m_fanOutShare : 1 / static_cast<double>(m_hosts);
+    group.connectionLimit = policy ? std::max<std::size_t>(1, static_cast<std::size_t>(policy->maxConnections * usableConnections * share)) : 1;
     group.coldRequestsPerSecond = policy ? policy->coldRequestsPerSecond : 0;
     group.roomForAll = group.connectionLimit > 1;
     group.inUse = m_used.contains(service);
@@ -114,21 +115,23 @@
 {
     m_routing = std::move(routing);
     m_used.clear();
+    m_shards.clear();
     for (const RoutePolicy& route : m_routing->routes()) {
         m_used.insert(route.shards.begin(), route.shards.end());
+        m_shards.insert(route.shards.begin(), route.shards.end());
         for (const WeightedService& each : route.services)
             m_used.insert(each.service);
     }
     applyPolicies();
 }
 
-void TargetPool::setShares(std::size_t hosts, double connections)
+void TargetPool::setShares(std::size_t hosts, double fanOut)
 {
     std::size_t shared = std::max<std::size_t>(1, hosts);
-    if (shared == m_hosts && connections == m_connectionShare)
+    if (shared == m_hosts && fanOut == m_fanOutShare)
         return;
     m_hosts = shared;
-    m_connectionShare = connections;
+    m_fanOutShare = fanOut;
     applyPolicies();
 }
 
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -55,8 +55,8 @@
     /// Sets the data centres whose targets get nothing.
     void setExcluded(std::set<DataCentreName> excluded) { m_excluded = std::move(excluded); }
     void setRouting(RoutingTablePointer routing);
-    /// Sets by how many hosts what a cold target tolerates is divided, and this host's part of the connections of each target.
-    void setShares(std::size_t hosts, double connections);
+    /// Sets by how many hosts what all of them share is divided, and this host's part of the connections to each target of a fan-out.
+    void setShares(std::size_t hosts, double fanOut);
 
     /// \returns the best target of \a service that is not in \a tried, or nothing and the reason in \a shortage
     std::optional<Choice> choose(const ServiceName& service, const std::vector<TargetName>& tried, Instant now, Shortage& shortage);
@@ -128,8 +128,9 @@
     RoutingTablePointer m_routing;
     std::set<DataCentreName> m_excluded;
     std::size_t m_hosts = 1;
-    double m_connectionShare = 1; ///< This host's part of the connections of a target.
+    double m_fanOutShare = 1; ///< This host's part of the connections to a target of a fan-out.
     std::set<ServiceName> m_used; ///< Services that routes name.
+    std::set<ServiceName> m_shards; ///< Those of them that are shards of a fan-out.
     std::map<TargetName, State> m_targets;
     std::unordered_map<ServiceName, Group> m_groups;
 };
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -327,12 +327,9 @@
 {
     Instant now = m_clock.now();
     std::vector<MemberRecord> members = m_membership.members();
-    constexpr double millicores = 1000;
-    double cores = m_settings.cores;
-    for (const MemberRecord& member : members)
-        cores += member.usable() ? member.millicores() / millicores : 0;
-    m_hosts.seen(m_membership.usableCount() + 1, cores, now);
-    m_pool.setShares(m_hosts.value(now), m_hosts.share(m_settings.cores, now));
+    ConnectionWeights weights = connectionWeights(m_membership.self(), members);
+    m_hosts.seen(m_membership.usableCount() + 1, weights.all, now);
+    m_pool.setShares(m_hosts.value(now), m_hosts.share(weights.own, now));
     m_aggregators.setMembers(members);
     m_feed.setMembers(std::move(members));
     m_engine.setHosts(m_hosts.value(now));
