Acknowledge what is run for another host, and give up silent hosts soon

The slack of repeats was divided equally although strong hosts send nearly all. Ruled out: sending the parts again from here when a host is silent: it may have run them, and a shard would be asked more often than the route allows. Change: a host answers 102 as soon as it begins; without it the call is given up after 50 ms or a quarter of the objective and two ways, with it after 0.85 of the patience. RepeatBudgets takes this host's part of the slack by weight, as connections are. Tests: 'a host that does not begin costs one call ...' (red before: still open at 50 ms), 'an acknowledgement after the call was given up ...'; the bound of repeats over 1, 8 and 60 hosts holds.

--- a/Pimentopoint/src/Net/CallerLink.cpp
+++ b/Pimentopoint/src/Net/CallerLink.cpp
@@ -192,8 +192,18 @@
     // The answer may come before the hook returns.
     m_call = CallId(0);
     CallId call = m_hooks.request(shared_from_this(), std::move(request));
-    if (m_call)
-        m_call = call;
+    if (!m_call)
+        return;
+    m_call = call;
+    if (m_hooks.fromHosts)
+        acknowledge();
+}
+
+void CallerLink::acknowledge()
+{
+    // A few bytes; where they do not fit, the other host takes this one for busy, rightly.
+    boost::system::error_code ignored;
+    m_socket.write_some(asio::buffer(std::string_view("HTTP/1.1 102 Processing\r\n\r\n")), ignored);
 }
 
 void CallerLink::reject(unsigned status, const char* reason)
--- a/Pimentopoint/src/Net/CallerLink.h
+++ b/Pimentopoint/src/Net/CallerLink.h
@@ -53,6 +53,8 @@
     void dispatch();
     /// \returns whether \a message says what is needed to run it for another host
     bool readDelegation(const boost::beast::http::fields& message, CallerRequest& request) const;
+    /// Tells the other host that its request has begun.
+    void acknowledge();
     void reject(unsigned status, const char* reason);
     void write();
     void written(const boost::system::error_code& error);
--- a/Pimentopoint/src/Net/TargetLink.cpp
+++ b/Pimentopoint/src/Net/TargetLink.cpp
@@ -226,6 +226,8 @@
     if (m_parser->is_done()) {
         constexpr unsigned firstFinal = 200;
         if (m_parser->get().result_int() < firstFinal) {
+            if (m_send->delegation)
+                m_hooks.begun(m_send->send);
             m_parser.emplace();
             m_parser->eager(true);
             m_parser->body_limit(mostBodyBytes);
--- a/Pimentopoint/src/Net/TargetLink.h
+++ b/Pimentopoint/src/Net/TargetLink.h
@@ -21,6 +21,7 @@
 public:
     struct Hooks {
         std::function<void(SendId, TargetReply)> ended;
+        std::function<void(SendId)> begun; ///< A host that runs parts of the call has begun.
         std::function<void(const std::shared_ptr<TargetLink>&)> free; ///< The link can take a request.
         std::function<void(const std::shared_ptr<TargetLink>&)> closed; ///< Once for each link, however it ends.
     };
--- a/Pimentopoint/src/Net/TargetLinks.cpp
+++ b/Pimentopoint/src/Net/TargetLinks.cpp
@@ -44,6 +44,7 @@
     TargetLink::Hooks hooks;
     hooks.free = [this](const Pointer& link) { m_idle[link->target()].push_back(link); };
     hooks.closed = [this](const Pointer& link) { closed(link); };
+    hooks.begun = [this](SendId id) { m_begun(id); };
     hooks.ended = [this](SendId id, TargetReply reply) {
         m_busy.erase(id);
         m_ended(id, std::move(reply));
--- a/Pimentopoint/src/Net/TargetLinks.h
+++ b/Pimentopoint/src/Net/TargetLinks.h
@@ -19,6 +19,9 @@
 
     TargetLinks(boost::asio::io_context& context, const Clock& clock, const HeaderDialect& dialect, Metrics& metrics, Ended ended, Changed changed);
 
+    /// Sets what is told when a host that runs parts of a call has begun.
+    void onBegun(std::function<void(SendId)> begun) { m_begun = std::move(begun); }
+
     void send(const CallActions::Send& send);
     /// Opens a connection ahead of need.
     void open(const TargetName& target, const Endpoint& endpoint);
@@ -39,6 +42,7 @@
     Metrics& m_metrics;
     Ended m_ended;
     Changed m_changed;
+    std::function<void(SendId)> m_begun = [](SendId) {};
     std::unordered_map<TargetName, std::size_t> m_open; ///< Connections, by target.
     std::unordered_map<SendId, Pointer> m_busy;
     std::map<TargetName, std::vector<Pointer>> m_idle; ///< The latest used one last.
--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -8,6 +8,9 @@
 
     /// Multiple of the late time after which a send that is given up speaks against its target.
     constexpr int silentMultiple = 2;
+    /// Time for a host to begin what it runs for this one: a new connection, and its processor busy for a moment; more where the objective allows.
+    constexpr Duration shortestAcknowledgement = std::chrono::milliseconds(50);
+    constexpr double acknowledgementPart = 0.25;
     /// For which the data centres with targets of a route are not looked up again; short beside what crosses between them meanwhile.
     constexpr Duration reachAge = std::chrono::milliseconds(200);
     constexpr unsigned unavailable = 503;
@@ -41,7 +44,7 @@
         if (extra && !m_engine.m_repeats.spend(part.service))
             return Obstacle::NoBudget;
         if (part.tried.empty())
-            m_engine.m_repeats.earn(part.service, now);
+            m_engine.m_repeats.earn(part.service, m_run.route().fansOut(), now);
         m_engine.m_load.add(1, now);
         SendId id(++m_engine.m_lastSend);
         Duration late = m_run.lateAfter();
@@ -72,7 +75,7 @@
         m_engine.m_aggregators.sent(choice->name, id, route.objective, now);
         m_engine.m_calls.at(m_id).aggregator = choice->name;
         m_engine.m_metrics.add("pimentopoint_delegated_calls_total", "");
-        Group group { id, {} };
+        Group group { id, {}, now + std::max(shortestAcknowledgement, scaled(route.objective, acknowledgementPart) + 2 * choice->ways) };
         Delegation delegation { m_run.routing().version(), now - m_run.request().arrivedAt + choice->ways, {} };
         if (choice->scope == AggregatorPool::Scope::AwayShards) {
             group.parts = reach.away;
@@ -85,14 +88,13 @@
         return group;
     }
 
-    void release(SendId send, Instant now) override
+    void release(SendId send, bool silent, Instant now) override
     {
         auto found = m_engine.m_sends.find(send);
         if (found == m_engine.m_sends.end())
             return;
         if (found->second.aggregator) {
             // That host in turn gives its targets the time to end.
-            bool silent = now - found->second.sentAt > found->second.late;
             m_engine.m_aggregators.abandoned(*found->second.aggregator, send, silent, now);
             m_engine.m_sends.erase(found);
             m_actions.aborts.push_back(send);
@@ -311,6 +313,18 @@
     resumeWaiting(send.service, now, actions);
 }
 
+void CallEngine::acknowledged(SendId send, Instant now)
+{
+    auto found = m_sends.find(send);
+    if (found == m_sends.end() || !found->second.aggregator)
+        return;
+    auto call = m_calls.find(found->second.call);
+    if (call == m_calls.end())
+        return;
+    call->second.run->delegateAcknowledged(now);
+    reschedule(call->first, call->second);
+}
+
 void CallEngine::delegateEnded(const SendState& send, SendId id, TargetReply reply, Instant now, CallActions& actions)
 {
     m_aggregators.ended(*send.aggregator, id, reply, now);
@@ -369,10 +383,10 @@
     CallRun& run = *found->second.run;
     Environment environment(*this, id, run, actions);
     if (run.delegated())
-        environment.release(run.delegated()->send, now);
+        environment.release(run.delegated()->send, false, now);
     for (const CallPart& part : run.parts()) {
         for (SendId send : part.outstanding)
-            environment.release(send, now);
+            environment.release(send, false, now);
     }
     m_recorder({ run.request(), run.route().name.value(), run.routing().version(), 0, left, now - run.request().arrivedAt, 0, run.extraSends(), "", run.lateAfter(), found->second.aggregator });
     m_metrics.add("pimentopoint_callers_left_total", "");
--- a/Pimentopoint/src/Serve/CallEngine.h
+++ b/Pimentopoint/src/Serve/CallEngine.h
@@ -72,8 +72,8 @@
     CallEngine(TargetPool& pool, AggregatorPool& aggregators, Metrics& metrics, CallLimits limits, Recorder recorder);
 
     void setRouting(RoutingTablePointer routing);
-    /// Sets how many hosts share what is allowed beyond the share of repeats.
-    void setHosts(std::size_t hosts) { m_repeats.setHosts(hosts); }
+    /// Sets this host's part of the repeats that are allowed beyond the share of requests: for whole requests and for shards of a fan-out.
+    void setShares(double single, double fanOut) { m_repeats.setShares(single, fanOut); }
     const RoutingTablePointer& routing() const { return m_routing; }
 
     /// Begins a call; before open() it is held for a moment, as the routes of a process that starts come within that.
@@ -81,6 +81,8 @@
     /// The routes and the targets are known: begins what was held.
     void open(Instant now, CallActions& actions);
     void ended(SendId send, TargetReply reply, Instant now, CallActions& actions);
+    /// The host that runs parts of a call has begun.
+    void acknowledged(SendId send, Instant now);
     /// The caller closed its connection.
     void callerLeft(CallId call, Instant now, CallActions& actions);
     void tick(Instant now, CallActions& actions);
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -19,10 +19,10 @@
     constexpr double mostWaiting = 0.25;
     /// When room is expected after a refusal: connections come free within a few service times.
     constexpr Duration roomAfter = std::chrono::milliseconds(30);
-    /// A host that runs parts is given up after the larger of these: it answers by the objective if it can at all, and after half of the
-    /// caller's patience another try still helps the caller.
+    /// A host that has begun its parts is given up after the larger of these: it answers by the objective if it can, and the rest of the
+    /// caller's patience is left for another try.
     constexpr double delegateObjectives = 1.5;
-    constexpr double delegatePatience = 0.5;
+    constexpr double delegatePatience = 0.85;
     constexpr unsigned noTargetStatus = 503;
     constexpr unsigned brokenStatus = 502;
     constexpr unsigned lateStatus = 504;
@@ -126,7 +126,7 @@
         m_wakeChanged = m_wakeChanged || enough(m_doneParts + 1) != enough(m_doneParts);
         ++m_doneParts;
         for (SendId other : part.outstanding)
-            environment.release(other, now);
+            environment.release(other, false, now);
         part.outstanding.clear();
     } else {
         part.mayHaveRun = part.mayHaveRun || !reply.notRun;
@@ -156,6 +156,14 @@
     m_delegated.reset();
 }
 
+void CallRun::delegateAcknowledged(Instant now)
+{
+    if (!m_delegated || now >= m_delegated->dueAt)
+        return;
+    m_delegated->begun = true;
+    m_wakeChanged = true;
+}
+
 void CallRun::delegateEnded(CallEnvironment& environment, TargetReply reply, Instant now)
 {
     if (m_finished || !m_delegated)
@@ -207,7 +215,7 @@
         return;
     }
     if (m_delegated && now >= delegateEnd()) {
-        environment.release(m_delegated->send, now);
+        environment.release(m_delegated->send, !m_delegated->begun, now);
         failDelegated();
     }
     for (CallPart& part : m_parts) {
@@ -243,6 +251,8 @@
 
 Instant CallRun::delegateEnd() const
 {
+    if (!m_delegated->begun)
+        return m_delegated->dueAt;
     return m_startedAt + std::max(scaled(m_route->objective, delegateObjectives), scaled(m_request->patience, delegatePatience));
 }
 
@@ -289,13 +299,13 @@
 {
     m_finished = true;
     if (m_delegated) {
-        environment.release(m_delegated->send, now);
+        environment.release(m_delegated->send, false, now);
         failDelegated();
     }
     for (CallPart& part : m_parts) {
         for (SendId send : part.outstanding) {
             part.mayHaveRun = true;
-            environment.release(send, now);
+            environment.release(send, false, now);
         }
         part.outstanding.clear();
         part.waiting = false;
--- a/Pimentopoint/src/Serve/CallRun.h
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -29,12 +29,14 @@
     struct Group {
         SendId send;
         std::vector<std::size_t> parts;
+        Instant dueAt; ///< Until which the host has to begin.
+        bool begun = false;
     };
     /// \brief Sends some or all parts to a host that runs them for this one.
     /// \returns nothing if this host is to run all of them
     virtual std::optional<Group> delegate(Instant now) = 0;
-    /// No answer of \a send is needed any more.
-    virtual void release(SendId send, Instant now) = 0;
+    /// No answer of \a send is needed any more; with \a silent, because the host it went to did not begin.
+    virtual void release(SendId send, bool silent, Instant now) = 0;
 };
 
 /// A part of a call: one shard of a fan-out, or all of a call that one target serves.
@@ -67,6 +69,8 @@
 
     void begin(CallEnvironment& environment, Instant now);
     void replied(CallEnvironment& environment, std::size_t part, SendId send, TargetReply reply, Instant now);
+    /// The host that runs parts for this one has begun.
+    void delegateAcknowledged(Instant now);
     /// The host that runs parts for this one answered, or did not.
     void delegateEnded(CallEnvironment& environment, TargetReply reply, Instant now);
     /// A connection to a target of part \a part is free.
--- a/Pimentopoint/src/Serve/RepeatBudgets.cpp
+++ b/Pimentopoint/src/Serve/RepeatBudgets.cpp
@@ -15,16 +15,17 @@
 
 } // namespace
 
-void RepeatBudgets::setHosts(std::size_t hosts)
+void RepeatBudgets::setShares(double single, double fanOut)
 {
-    m_hosts = std::max<std::size_t>(1, hosts);
+    m_singleShare = single;
+    m_fanOutShare = fanOut;
 }
 
-void RepeatBudgets::earn(const ServiceName& service, Instant now)
+void RepeatBudgets::earn(const ServiceName& service, bool shard, Instant now)
 {
     auto [at, fresh] = m_budgets.try_emplace(service);
     Budget& budget = at->second;
-    double slack = m_limits.slack / static_cast<double>(m_hosts);
+    double slack = m_limits.slack * (shard ? m_fanOutShare : m_singleShare);
     double passed = std::chrono::duration<double>(now - budget.earnedAt) / std::chrono::duration<double>(m_limits.window);
     budget.recentCalls = budget.recentCalls * std::exp(-passed) + 1;
     budget.earnedAt = now;
--- a/Pimentopoint/src/Serve/RepeatBudgets.h
+++ b/Pimentopoint/src/Serve/RepeatBudgets.h
@@ -5,7 +5,6 @@
 #include "../Core/Fraction.h"
 #include "../Core/Ids.h"
 
-#include <cstddef>
 #include <map>
 
 namespace pimentopoint {
@@ -30,10 +29,10 @@
     {
     }
 
-    /// Sets how many hosts share the slack.
-    void setHosts(std::size_t hosts);
+    /// Sets this host's part of the slack of a service that serves whole requests, and of one that is a shard of a fan-out.
+    void setShares(double single, double fanOut);
     /// Notes the first send of a request to \a service.
-    void earn(const ServiceName& service, Instant now);
+    void earn(const ServiceName& service, bool shard, Instant now);
     /// \returns whether one more repeat is allowed, and if so charges it
     bool spend(const ServiceName& service) { return m_budgets[service].credit.spend(); }
 
@@ -45,7 +44,8 @@
     };
 
     RepeatLimits m_limits;
-    std::size_t m_hosts = 1;
+    double m_singleShare = 1;
+    double m_fanOutShare = 1;
     std::map<ServiceName, Budget> m_budgets;
 };
 
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -98,6 +98,10 @@
     , m_feed(m_context, m_clock, m_metrics, m_membership.self(), { m_settings.platform, m_settings.members, m_settings.newsTime, seedOf(m_settings, "news") },
           { platform::storePath, platform::storeResult, [this](const std::vector<StoreItem>& items) { takeNews(items); } })
 {
+    m_targets.onBegun([this](SendId send) {
+        m_engine.acknowledged(send, m_clock.now());
+        armTimer();
+    });
     if (m_settings.aggregation)
         m_hostCallers.emplace(m_context, m_clock, platform::headerDialect(), *m_settings.aggregation, mostHostCallers, callerHooks(true));
     m_readiness = std::make_unique<HttpServer>(m_settings.readiness, readinessThreads, readinessBodyBytes, [this](const HttpRequest& request) -> HttpResponse {
@@ -329,10 +333,11 @@
     std::vector<MemberRecord> members = m_membership.members();
     ConnectionWeights weights = connectionWeights(m_membership.self(), members);
     m_hosts.seen(m_membership.usableCount() + 1, weights.all, now);
-    m_pool.setShares(m_hosts.value(now), m_hosts.share(weights.own, now));
+    double fanOutShare = m_hosts.share(weights.own, now);
+    m_pool.setShares(m_hosts.value(now), fanOutShare);
     m_aggregators.setMembers(members);
     m_feed.setMembers(std::move(members));
-    m_engine.setHosts(m_hosts.value(now));
+    m_engine.setShares(1 / static_cast<double>(m_hosts.value(now)), fanOutShare);
     m_metrics.setGauge("pimentopoint_hosts", "", m_hosts.value(now));
 }
 
--- a/test/AggregatorTest.cpp
+++ b/test/AggregatorTest.cpp
@@ -221,20 +221,38 @@
     }
 }
 
-TEST_CASE("a host that falls silent costs one call, which ends at half of its caller's patience")
+TEST_CASE("a host that does not begin costs one call, which ends soon; one that has begun has most of the caller's patience")
+{
+    for (bool begins : { false, true }) {
+        INFO("begins " << begins);
+        DelegatingFleet fleet;
+        CallId call = fleet.ask("fan.example", millisecond(0), std::chrono::milliseconds(1200));
+        SendId silent = fleet.only().send;
+        if (begins)
+            fleet.engine.acknowledged(silent, millisecond(3));
+        int end = begins ? 1020 : 50;
+        fleet.tick(millisecond(end - 1));
+        CHECK_FALSE(fleet.answers.contains(call));
+        fleet.tick(millisecond(end));
+        REQUIRE(fleet.answers.contains(call));
+        CHECK(fleet.answers[call].status == 502);
+        CHECK(fleet.sends.empty());
+        // A host that did not begin is left alone.
+        fleet.ask("fan.example", millisecond(end + 1));
+        CHECK(fleet.sends.size() == (begins ? 1 : 4));
+    }
+}
+
+TEST_CASE("an acknowledgement after the call was given up changes nothing")
 {
     DelegatingFleet fleet;
-    CallId call = fleet.ask("fan.example", millisecond(0), std::chrono::milliseconds(1200));
-    SendId silent = fleet.only().send;
-    // The objective is over: the next call is run here.
-    fleet.ask("fan.example", millisecond(250));
-    CHECK(fleet.sends.size() == 1 + 4);
-    fleet.tick(millisecond(599));
-    CHECK_FALSE(fleet.answers.contains(call));
-    fleet.tick(millisecond(600));
+    CallId call = fleet.ask("fan.example", millisecond(0));
+    SendId late = fleet.only().send;
+    fleet.tick(millisecond(50));
     REQUIRE(fleet.answers.contains(call));
-    CHECK(fleet.answers[call].status == 502);
-    CHECK_FALSE(fleet.sends.contains(silent));
+    fleet.engine.acknowledged(late, millisecond(51));
+    CHECK(fleet.answers.size() == 1);
+    CHECK(fleet.sends.empty());
 }
 
 TEST_CASE("when the caller leaves, the host that runs its call is told at once")
@@ -378,6 +396,7 @@
 {
     PartlyAwayFleet fleet(0.6);
     CallId call = fleet.ask("fan.example", millisecond(0));
+    fleet.engine.acknowledged(fleet.group().send, millisecond(5));
     fleet.answerRest(millisecond(10));
     fleet.tick(millisecond(171));
     CHECK_FALSE(fleet.answers.contains(call));
--- a/test/CallTest.cpp
+++ b/test/CallTest.cpp
@@ -238,7 +238,7 @@
                 if (fleet->arrivals.empty()) {
                     for (int i = 1; i <= 3; ++i)
                         fleet->pool.put(targetOf("one", i), millisecond(time));
-                    fleet->engine.setHosts(hosts);
+                    fleet->engine.setShares(1 / static_cast<double>(hosts), 1 / static_cast<double>(hosts));
                 }
                 fleet->ask("single.example", millisecond(time));
                 requests.push_back(time);
