--- /dev/null
+++ b/test/FleetModel.cpp
@@ -0,0 +1,347 @@
+#include "FleetModel.h"
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+namespace pimentopoint {
+
+namespace {
+
+    /// Processor time of sending to a target or taking its answer, on one core.
+    constexpr Duration processing = std::chrono::microseconds(25);
+    constexpr Duration wayAtHome = std::chrono::microseconds(200);
+    constexpr unsigned connections = 62;
+
+    DataCentreName dataCentreAt(std::size_t index) { return DataCentreName(std::string(1, static_cast<char>('a' + index))); }
+
+} // namespace
+
+struct FleetModel::TargetState {
+    DiscoveredTarget target;
+    Duration pausePhase { 0 };
+    std::vector<Instant> freeAt; ///< Of each slot.
+};
+
+struct FleetModel::Host {
+    MemberRecord record;
+    double cores;
+    Metrics metrics;
+    TargetPool pool;
+    AggregatorPool aggregators;
+    CallEngine engine;
+    Instant busyUntil {};
+    std::optional<Instant> wake;
+    Instant silentFrom = Instant::max();
+    Instant silentTo = Instant::max();
+    struct Caller {
+        Instant askedAt;
+        std::function<void(const CallerAnswer&)> answered; ///< Set for a call of another host.
+    };
+    std::map<CallId, Caller> callers;
+    std::set<SendId> aborted;
+
+    Host(MemberRecord self, double ownCores, std::uint64_t seed)
+        : record(std::move(self))
+        , cores(ownCores)
+        , pool(record.dataCentre(), TargetPoolTiming(), seed, [](const TargetName&, std::string_view, std::string_view) {})
+        , aggregators(record, [](const MemberName&, std::string_view, std::string_view) {})
+        , engine(pool, aggregators, metrics, limits(), [](const CallRecord&) {})
+    {
+    }
+    static CallLimits limits()
+    {
+        CallLimits limits;
+        limits.repeats.slack = 162;
+        return limits;
+    }
+};
+
+FleetModel::~FleetModel() = default;
+
+FleetModel::FleetModel(FleetShape shape)
+    : m_shape(shape)
+    , m_random(shape.seed)
+{
+    RoutePolicy route;
+    route.name = RouteName("fan");
+    route.host = "fan.example";
+    route.prefix = "/";
+    route.maxAttempts = 2;
+    route.timeout = shape.patience;
+    route.objective = shape.objective;
+    route.topRecords = 5;
+    route.minCoverage = Fraction(shape.minCoverage);
+    RoutingTable::Parts parts;
+    parts.version = ConfigurationVersion(1);
+    std::vector<DiscoveredTarget> discovered;
+    for (std::size_t shard = 0; shard < shape.shards; ++shard) {
+        ServiceName service("s" + std::to_string(shard));
+        route.shards.push_back(service);
+        parts.services.push_back({ service, "/health", connections, 0 });
+        for (std::size_t replica = 0; replica < shape.replicas; ++replica) {
+            DiscoveredTarget target;
+            target.name = TargetName(service.value() + "-" + std::to_string(replica));
+            target.service = service;
+            target.endpoint = Endpoint("10.0.0.1", 80);
+            target.dataCentre = dataCentreAt((shard + replica) % shape.dataCentres);
+            target.slots = shape.slots;
+            discovered.push_back(target);
+            auto state = std::make_unique<TargetState>();
+            state->target = target;
+            state->pausePhase = Duration(static_cast<Duration::rep>(m_random.below(static_cast<std::uint64_t>(shape.pauseEvery.count()))));
+            state->freeAt.resize(shape.slots);
+            m_targets.emplace(target.name, std::move(state));
+        }
+    }
+    parts.routes.push_back(route);
+    auto routing = std::make_shared<const RoutingTable>(std::move(parts));
+    std::vector<MemberRecord> members;
+    for (std::size_t dataCentre = 0; dataCentre < shape.dataCentres; ++dataCentre) {
+        for (std::size_t i = 0; i < shape.weakHosts + shape.strongHosts; ++i) {
+            bool strong = i < shape.strongHosts;
+            std::string name = dataCentreAt(dataCentre).value() + (strong ? "-strong-" + std::to_string(i) : "-weak-" + std::to_string(i - shape.strongHosts));
+            MemberRecord record(MemberName(name), MemberRole::Front, dataCentreAt(dataCentre), Incarnation(1));
+            record.setEndpoints(Endpoint("10.0.1.1", 1), Endpoint("10.0.1.1", 1), Endpoint("10.0.1.1", 2));
+            double cores = strong ? shape.strongCores : shape.weakCores;
+            record.setMillicores(static_cast<std::uint32_t>(cores * 1000));
+            members.push_back(record);
+            m_hosts.push_back(std::make_unique<Host>(record, cores, shape.seed * 100 + m_hosts.size()));
+        }
+    }
+    for (auto& host : m_hosts) {
+        std::vector<MemberRecord> others;
+        std::copy_if(members.begin(), members.end(), std::back_inserter(others), [&](const MemberRecord& member) { return member.name() != host->record.name(); });
+        if (shape.aggregates)
+            host->aggregators.setMembers(others);
+        ConnectionWeights weights = connectionWeights(host->record, shape.aggregates ? others : std::vector<MemberRecord>(others.size(), host->record));
+        host->pool.setShares(members.size(), weights.own / weights.all);
+        host->engine.setShares(1 / static_cast<double>(members.size()), weights.own / weights.all);
+        host->engine.setRouting(routing);
+        for (const DiscoveredTarget& target : discovered)
+            host->pool.put(target, m_now);
+        CallActions none;
+        host->engine.open(m_now, none);
+    }
+}
+
+void FleetModel::schedule(Instant at, std::function<void()> run)
+{
+    m_events.push({ at, ++m_order, std::move(run) });
+}
+
+bool FleetModel::silent(const Host& host) const
+{
+    return m_now >= host.silentFrom && m_now < host.silentTo;
+}
+
+void FleetModel::silence(const std::string& name, Duration from, Duration to)
+{
+    for (auto& host : m_hosts) {
+        if (host->record.name().value() == name) {
+            host->silentFrom = Instant(from);
+            host->silentTo = Instant(to);
+        }
+    }
+}
+
+Duration FleetModel::way(const DataCentreName& a, const DataCentreName& b) const
+{
+    return a == b ? wayAtHome : m_shape.way;
+}
+
+/// Runs \a run when the host's processor has the time for it.
+void FleetModel::work(Host& host, std::function<void()> run)
+{
+    if (silent(host))
+        return;
+    host.busyUntil = std::max(host.busyUntil, m_now) + scaled(processing, 1 / host.cores);
+    schedule(host.busyUntil, [this, &host, run = std::move(run)] {
+        if (!silent(host))
+            run();
+    });
+}
+
+void FleetModel::tick(Host& host)
+{
+    auto wake = host.engine.nextWake();
+    if (!wake || (host.wake && *host.wake <= *wake))
+        return;
+    host.wake = wake;
+    schedule(std::max(*wake, m_now), [this, &host, at = *wake] {
+        if (host.wake != at)
+            return;
+        host.wake.reset();
+        CallActions actions;
+        host.engine.tick(m_now, actions);
+        perform(host, std::move(actions));
+    });
+}
+
+void FleetModel::perform(Host& host, CallActions actions)
+{
+    for (const auto& send : actions.sends)
+        work(host, [this, &host, send] { send.delegation ? sendToHost(host, send) : sendToTarget(host, send); });
+    for (SendId send : actions.aborts)
+        host.aborted.insert(send);
+    for (const auto& each : actions.answers)
+        answer(host, each.call, each.answer);
+    tick(host);
+}
+
+void FleetModel::sendToTarget(Host& host, const CallActions::Send& send)
+{
+    TargetState& state = *m_targets.at(send.target);
+    std::size_t& arrivals = m_arrivals[send.request->id][state.target.service];
+    m_counts.mostArrivals = std::max(m_counts.mostArrivals, ++arrivals);
+    Duration there = way(host.record.dataCentre(), state.target.dataCentre);
+    schedule(m_now + there, [this, &host, &state, send, there] {
+        auto slot = std::min_element(state.freeAt.begin(), state.freeAt.end());
+        Instant start = std::max(*slot, m_now);
+        Duration phase = (start.time_since_epoch() + state.pausePhase) % m_shape.pauseEvery;
+        if (phase < m_shape.pause)
+            start += m_shape.pause - phase;
+        Instant end = start + scaled(m_shape.service, 0.6 + 0.8 * m_random.fraction());
+        *slot = end;
+        schedule(end + there, [this, &host, &state, send] {
+            if (host.aborted.contains(send.send))
+                return;
+            if (host.record.dataCentre() != state.target.dataCentre)
+                ++m_counts.crossings;
+            work(host, [this, &host, send] {
+                TargetReply reply;
+                reply.end = TargetReply::End::Answered;
+                reply.status = 200;
+                reply.stamp = send.target.value();
+                CallActions actions;
+                host.engine.ended(send.send, std::move(reply), m_now, actions);
+                perform(host, std::move(actions));
+            });
+        });
+    });
+}
+
+void FleetModel::sendToHost(Host& host, const CallActions::Send& send)
+{
+    auto found = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const auto& each) { return each->record.name().value() == send.target.value(); });
+    Host& other = **found;
+    Duration there = way(host.record.dataCentre(), other.record.dataCentre());
+    schedule(m_now + there, [this, &host, &other, send, there] {
+        work(other, [this, &host, &other, send, there] {
+            auto request = std::make_shared<CallerRequest>(*send.request);
+            request->delegation = send.delegation;
+            request->patience = send.deadline - m_now;
+            request->arrivedAt = m_now;
+            CallId call(++m_lastCall);
+            Instant began = m_now;
+            other.callers[call] = { m_now, [this, &host, &other, send, there, began](const CallerAnswer& answer) {
+                                       TargetReply reply;
+                                       reply.end = TargetReply::End::Answered;
+                                       reply.status = answer.status;
+                                       reply.notRun = answer.status == 503;
+                                       reply.stamp = reply.partStamps = answer.partStamps;
+                                       reply.missingParts = answer.missingParts;
+                                       reply.took = m_now - began;
+                                       bool crosses = host.record.dataCentre() != other.record.dataCentre();
+                                       schedule(m_now + there, [this, &host, send, reply, crosses] {
+                                           m_counts.crossings += crosses;
+                                           work(host, [this, &host, send, reply] {
+                                               CallActions actions;
+                                               host.engine.ended(send.send, reply, m_now, actions);
+                                               perform(host, std::move(actions));
+                                           });
+                                       });
+                                   } };
+            schedule(m_now + there, [this, &host, send] {
+                if (!silent(host))
+                    host.engine.acknowledged(send.send, m_now);
+            });
+            CallActions actions;
+            other.engine.begin(call, std::move(request), m_now, actions);
+            perform(other, std::move(actions));
+        });
+    });
+}
+
+bool FleetModel::responds(const CallerAnswer& answer) const
+{
+    std::set<std::string> services;
+    std::istringstream stamps(answer.partStamps);
+    std::size_t count = 0;
+    for (std::string stamp; std::getline(stamps, stamp, ',');) {
+        stamp.erase(0, stamp.find_first_not_of(' '));
+        services.insert(stamp.substr(0, stamp.find('-')));
+        ++count;
+    }
+    bool once = services.size() == count;
+    bool complete = count + answer.missingParts == m_shape.shards;
+    return once && complete && static_cast<double>(count) + 1e-6 >= m_shape.minCoverage * static_cast<double>(m_shape.shards);
+}
+
+void FleetModel::answer(Host& host, CallId call, const CallerAnswer& answer)
+{
+    auto found = host.callers.find(call);
+    if (found == host.callers.end()) {
+        ++m_counts.wrong;
+        return;
+    }
+    Host::Caller caller = std::move(found->second);
+    host.callers.erase(found);
+    if (silent(host))
+        return;
+    if (caller.answered) {
+        caller.answered(answer);
+        return;
+    }
+    if (answer.status != 200) {
+        ++m_counts.failed;
+        return;
+    }
+    ++m_counts.served;
+    m_counts.inTime += m_now - caller.askedAt <= m_shape.objective;
+    m_counts.wrong += !responds(answer);
+}
+
+void FleetModel::ask(Host& host)
+{
+    auto request = std::make_shared<CallerRequest>();
+    CallId call(++m_lastCall);
+    request->id = "id" + std::to_string(call.value());
+    request->method = "GET";
+    request->target = "/q";
+    request->host = "fan.example";
+    request->patience = m_shape.patience;
+    request->arrivedAt = m_now;
+    ++m_counts.asked;
+    host.callers[call] = { m_now, {} };
+    work(host, [this, &host, call, request] {
+        CallActions actions;
+        host.engine.begin(call, request, m_now, actions);
+        perform(host, std::move(actions));
+    });
+}
+
+FleetModel::Counts FleetModel::play(Duration from, Duration to)
+{
+    m_counts = {};
+    for (Instant at(from); at < Instant(to);) {
+        std::size_t index = m_random.below(m_hosts.size());
+        schedule(at, [this, index] {
+            // A balancer sends nobody to a host that is known to be silent.
+            if (!silent(*m_hosts[index]))
+                ask(*m_hosts[index]);
+        });
+        double gap = (0.5 + m_random.fraction()) / m_shape.callsPerSecond;
+        constexpr double microseconds = 1e6;
+        at += Duration(static_cast<Duration::rep>(gap * microseconds));
+    }
+    while (!m_events.empty()) {
+        Event next = m_events.top();
+        m_events.pop();
+        m_now = std::max(m_now, next.at);
+        next.run();
+    }
+    return m_counts;
+}
+
+} // namespace pimentopoint
