--- /dev/null
+++ b/soak/Caller.cpp
@@ -0,0 +1,98 @@
+#include "Caller.h"
+
+#include "../Pimentopoint/src/Net/HttpText.h"
+#include "../platform/Dialect.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace pimentopoint {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+Caller::Caller(asio::io_context& context, Endpoint host)
+    : m_socket(context)
+    , m_timer(context)
+    , m_host(std::move(host))
+{
+}
+
+void Caller::ask(const std::string& path, const std::string& id, bool fanOut, Duration patience, Done done)
+{
+    const HeaderDialect& dialect = platform::headerDialect();
+    ++m_turn;
+    m_done = std::move(done);
+    m_sight = { id, fanOut, 0, "", 0, "", Duration(0) };
+    m_askedAt = std::chrono::steady_clock::now();
+    std::string milliseconds = std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(patience).count());
+    m_request = "GET " + path + " HTTP/1.1\r\nHost: h.example\r\n" + dialect.requestId + ": " + id + "\r\n" + dialect.deadline + ": " + milliseconds + "\r\n\r\n";
+    m_timer.expires_after(patience);
+    m_timer.async_wait([self = shared_from_this(), turn = m_turn](const boost::system::error_code& cancelled) {
+        if (!cancelled && turn == self->m_turn && self->m_done)
+            self->finish(false);
+    });
+    if (m_connected)
+        write();
+    else
+        connect();
+}
+
+void Caller::connect()
+{
+    m_buffer.clear();
+    asio::ip::tcp::endpoint host(asio::ip::make_address_v4(m_host.address()), m_host.port());
+    m_socket.async_connect(host, [self = shared_from_this(), turn = m_turn](const boost::system::error_code& error) {
+        if (turn != self->m_turn || !self->m_done)
+            return;
+        self->m_connected = !error;
+        if (error)
+            self->finish(false);
+        else
+            self->write();
+    });
+}
+
+void Caller::write()
+{
+    asio::async_write(m_socket, asio::buffer(m_request), [self = shared_from_this(), turn = m_turn](const boost::system::error_code& error, std::size_t) {
+        if (turn != self->m_turn || !self->m_done)
+            return;
+        if (error)
+            self->finish(false);
+        else
+            self->read();
+    });
+}
+
+void Caller::read()
+{
+    m_parser.emplace();
+    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this(), turn = m_turn](const boost::system::error_code& error, std::size_t) {
+        if (turn == self->m_turn && self->m_done)
+            self->finish(!error);
+    });
+}
+
+void Caller::finish(bool answered)
+{
+    m_timer.cancel();
+    if (answered) {
+        const HeaderDialect& dialect = platform::headerDialect();
+        const auto& message = m_parser->get();
+        m_sight.status = message.result_int();
+        m_sight.stamps = std::string(headerValue(message, m_sight.fanOut ? dialect.partStamps : dialect.stamp));
+        m_sight.missing = parseNumber(headerValue(message, dialect.missingParts)).value_or(0);
+        m_sight.body = message.body();
+    }
+    m_sight.took = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_askedAt);
+    if (!answered || !m_parser->keep_alive()) {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        m_connected = false;
+    }
+    Done done = std::exchange(m_done, nullptr);
+    done(m_sight);
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/soak/Proxy.cpp
@@ -0,0 +1,128 @@
+#include "Proxy.h"
+
+#include <Pimentopoint/Net>
+#include <boost/asio/write.hpp>
+#include <vector>
+
+namespace pimentopoint {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+    constexpr Duration slowBy = std::chrono::milliseconds(60);
+
+} // namespace
+
+struct Proxy::Link : std::enable_shared_from_this<Link> {
+    Link(Proxy& owner, tcp::socket caller)
+        : proxy(owner)
+        , ends { std::move(caller), tcp::socket(owner.m_context) }
+    {
+    }
+
+    void start()
+    {
+        tcp::endpoint server(asio::ip::make_address_v4(proxy.m_server.address()), proxy.m_server.port());
+        ends[1].async_connect(server, [self = shared_from_this()](const boost::system::error_code& error) {
+            if (error) {
+                self->end();
+                return;
+            }
+            self->pump(0);
+            self->pump(1);
+        });
+    }
+
+    /// Copies what comes from end \a from to the other one.
+    void pump(std::size_t from)
+    {
+        ends[from].async_read_some(asio::buffer(bytes[from]), [self = shared_from_this(), from](const boost::system::error_code& error, std::size_t size) {
+            if (error) {
+                self->end();
+                return;
+            }
+            self->pass(from, size);
+        });
+    }
+
+    void pass(std::size_t from, std::size_t size)
+    {
+        Mode mode = proxy.m_mode;
+        if (silenced || mode == Mode::Silent || (mode == Mode::NoAnswers && from == 1)) {
+            pump(from);
+            return;
+        }
+        auto write = [self = shared_from_this(), from, size] {
+            asio::async_write(self->ends[1 - from], asio::buffer(self->bytes[from], size), [self, from](const boost::system::error_code& error, std::size_t) {
+                if (error)
+                    self->end();
+                else
+                    self->pump(from);
+            });
+        };
+        if (mode != Mode::Slow) {
+            write();
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(proxy.m_context, slowBy);
+        timer->async_wait([timer, write](const boost::system::error_code&) { write(); });
+    }
+
+    void end()
+    {
+        boost::system::error_code ignored;
+        for (tcp::socket& socket : ends)
+            socket.close(ignored);
+        proxy.m_links.erase(shared_from_this());
+    }
+
+    void reset()
+    {
+        boost::system::error_code ignored;
+        for (tcp::socket& socket : ends)
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        end();
+    }
+
+    Proxy& proxy;
+    std::array<tcp::socket, 2> ends; ///< The caller's, the server's.
+    std::array<std::array<char, 16 * 1024>, 2> bytes {};
+    bool silenced = false;
+};
+
+Proxy::Proxy(asio::io_context& context, const Endpoint& listen, const Endpoint& server)
+    : m_context(context)
+    , m_server(server)
+    , m_acceptor(listenOn(context, listen))
+{
+    accept();
+}
+
+void Proxy::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+        if (error)
+            return;
+        auto link = std::make_shared<Link>(*this, std::move(socket));
+        m_links.insert(link);
+        link->start();
+        accept();
+    });
+}
+
+void Proxy::silenceOpen()
+{
+    for (const auto& link : m_links)
+        link->silenced = true;
+}
+
+void Proxy::reset()
+{
+    std::vector<std::shared_ptr<Link>> links(m_links.begin(), m_links.end());
+    for (const auto& link : links)
+        link->reset();
+}
+
+} // namespace pimentopoint
--- /dev/null
+++ b/soak/Proxy.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <Pimentopoint/Core>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace pimentopoint {
+
+/// \class Proxy
+/// \brief Carries TCP connections on loopback, with faults on demand.
+class Proxy {
+public:
+    enum class Mode : std::uint8_t {
+        Pass,
+        Slow, ///< All bytes come later.
+        Silent, ///< Bytes of both sides vanish; connections stay open.
+        NoAnswers, ///< Bytes to the server pass, those from it vanish.
+    };
+
+    Proxy(boost::asio::io_context& context, const Endpoint& listen, const Endpoint& server);
+
+    void setMode(Mode mode) { m_mode = mode; }
+    /// Makes the connections that are open now silent for good; new ones work.
+    void silenceOpen();
+    /// Resets all connections.
+    void reset();
+
+private:
+    struct Link;
+    void accept();
+
+    boost::asio::io_context& m_context;
+    Endpoint m_server;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    Mode m_mode = Mode::Pass;
+    std::set<std::shared_ptr<Link>> m_links;
+};
+
+} // namespace pimentopoint
--- /dev/null
+++ b/soak/Scenario.cpp
@@ -0,0 +1,387 @@
+#include "Scenario.h"
+
+#include "../platform/Dialect.h"
+#include "../test/Ports.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace pimentopoint {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr std::size_t shards = 8;
+    constexpr std::size_t awayShards = 3; ///< With targets in data centre b only.
+    constexpr std::size_t leastParts = 6;
+    constexpr double minCoverage = 0.75;
+    constexpr std::size_t mostAttempts = 2;
+    constexpr Duration patience = milliseconds(1200);
+    constexpr Duration callInterval = milliseconds(15);
+    constexpr std::size_t callersPerHost = 4;
+    /// Longer than the settings let a host take to stop.
+    constexpr Duration longestStop = milliseconds(3500);
+    /// News must be known within 2 s here, and lost members are asked again every 5 s.
+    constexpr Duration recoveryTime = milliseconds(6500);
+    constexpr std::size_t recoveryCalls = 100;
+
+} // namespace
+
+struct Scenario::Host {
+    std::string settings;
+    std::unique_ptr<Proxy> store;
+    std::unique_ptr<ChildProcess> process;
+    std::vector<std::shared_ptr<Caller>> callers;
+    std::vector<std::string> logs;
+    bool disturbed = false; ///< By a fault that ends it or holds it up.
+};
+
+struct Scenario::Target {
+    std::string name;
+    std::string service;
+    std::string dataCentre;
+    bool once;
+    Endpoint address; ///< Of its proxy.
+    std::unique_ptr<Proxy> proxy;
+    std::unique_ptr<StandinService> standin;
+    StandinService::Behaviour behaviour {};
+    bool draining = false;
+    std::uint64_t sequence = 0;
+};
+
+Scenario::Scenario(std::uint64_t seed)
+    : m_random(seed)
+    , m_checker(shards, leastParts, mostAttempts)
+    , m_storeEndpoint(test::freeEndpoint())
+    , m_store(m_context, m_clock, m_storeEndpoint)
+    , m_start(m_clock.now())
+    , m_seed(seed)
+{
+    for (std::size_t i = 0; i < shards; ++i) {
+        std::string service = "s" + std::to_string(i);
+        addTarget(service, i < awayShards ? "b" : "a", false);
+        addTarget(service, "b", false);
+    }
+    for (const char* service : { "one", "two" }) {
+        addTarget(service, "a", true);
+        addTarget(service, "b", true);
+    }
+    publish();
+    for (const char* dataCentre : { "a", "b" }) {
+        std::string prefix = std::string(dataCentre) + "-";
+        addHost(prefix + "strong", dataCentre, 1);
+        addHost(prefix + "weak-1", dataCentre, 0.25);
+        addHost(prefix + "weak-2", dataCentre, 0.25);
+    }
+}
+
+Scenario::~Scenario() = default;
+
+void Scenario::addTarget(const std::string& service, const std::string& dataCentre, bool once)
+{
+    auto target = std::make_unique<Target>();
+    Target* raw = target.get();
+    target->service = service;
+    target->dataCentre = dataCentre;
+    target->once = once;
+    target->name = service + "-" + std::to_string(m_targets.size());
+    Endpoint direct = test::freeEndpoint();
+    target->address = test::freeEndpoint();
+    target->standin = std::make_unique<StandinService>(m_context, m_clock, platform::headerDialect(), direct, target->name, [this, raw](const CallerRequest& request) {
+        StandinService::Behaviour behaviour = raw->behaviour;
+        if (!behaviour.notRun)
+            m_checker.ran(raw->name, raw->service, request.id, raw->once);
+        behaviour.body = Checker::bodyOf(raw->name, request.id);
+        behaviour.takes = std::max<Duration>(behaviour.takes, milliseconds(2));
+        return behaviour;
+    });
+    target->proxy = std::make_unique<Proxy>(m_context, target->address, direct);
+    m_targets.push_back(std::move(target));
+    announce(*raw);
+}
+
+void Scenario::announce(Target& target)
+{
+    nlohmann::json entry = { { "service", target.service }, { "address", target.address.text() }, { "zone", target.dataCentre }, { "version", "v1" }, { "slots", 4 },
+        { "state", target.draining ? "draining" : "ready" }, { "warmup_left_ms", 0 }, { "sequence", ++target.sequence } };
+    m_store.put("servers/" + target.name, entry.dump());
+}
+
+void Scenario::publish()
+{
+    m_onceService = m_random.chance(0.5) ? "one" : "two";
+    nlohmann::json names = nlohmann::json::array();
+    nlohmann::json services = { { { "name", "one" }, { "max_connections", 64 } }, { { "name", "two" }, { "max_connections", 64 } } };
+    for (std::size_t i = 0; i < shards; ++i) {
+        names.push_back("s" + std::to_string(i));
+        services.push_back({ { "name", names.back() }, { "max_connections", 64 } });
+    }
+    m_version += 1 + m_random.below(3);
+    nlohmann::json configuration = { { "version", m_version }, { "services", services },
+        { "routes",
+            { { { "name", "fan" }, { "host", "h.example" }, { "prefix", "/fan/" }, { "kind", "idempotent" }, { "timeout_ms", 1200 }, { "goal_ms", 200 }, { "fanout", names }, { "max_attempts", mostAttempts },
+                  { "top_k", Checker::topRecordCount }, { "min_coverage", minCoverage } },
+                { { "name", "once" }, { "host", "h.example" }, { "prefix", "/once/" }, { "kind", "non_idempotent" }, { "timeout_ms", 1200 }, { "goal_ms", 200 }, { "service", m_onceService }, { "max_attempts", 2 } } } },
+        { "limits", { { "header_bytes", 16384 }, { "body_bytes", 65536 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } };
+    m_store.put("op/config", configuration.dump());
+    note("configuration " + std::to_string(m_version) + " sends single requests to " + m_onceService);
+}
+
+void Scenario::addHost(const std::string& name, const std::string& dataCentre, double cores)
+{
+    auto host = std::make_unique<Host>();
+    Endpoint storeProxy = test::freeEndpoint();
+    host->store = std::make_unique<Proxy>(m_context, storeProxy, m_storeEndpoint);
+    Endpoint callers = test::freeEndpoint();
+    Endpoint members = test::freeEndpoint();
+    static Endpoint seed;
+    if (m_hosts.empty())
+        seed = members;
+    host->settings = "name: " + name + "\ndataCentre: " + dataCentre + "\nlisten:\n  callers: " + callers.text() + "\n  readiness: " + test::freeEndpoint().text() + "\n  members: " + members.text()
+        + "\n  aggregation: " + test::freeEndpoint().text() + "\nprocessor: { cores: " + std::to_string(cores) + " }\nmembers: [\"" + seed.text() + "\"]\nplatform: " + storeProxy.text()
+        + "\ntimes: { stop: 3s, news: 2s, leaving: 2s }\nrepeats: { ratio: 0.2, slack: 56, window: 10s }\n";
+    for (std::size_t i = 0; i < callersPerHost; ++i)
+        host->callers.push_back(std::make_shared<Caller>(m_context, callers));
+    start(*host);
+    m_hosts.push_back(std::move(host));
+}
+
+void Scenario::start(Host& host)
+{
+    host.process = std::make_unique<ChildProcess>("pimentopoint-edge", host.settings);
+    host.logs.push_back(host.process->log());
+    host.disturbed = false;
+}
+
+void Scenario::note(const std::string& what)
+{
+    m_events.push_back(formatDuration(std::chrono::duration_cast<milliseconds>(m_clock.now() - m_start)) + " " + what);
+}
+
+void Scenario::after(Duration time, std::function<void()> run)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, time);
+    timer->async_wait([timer, run = std::move(run)](const boost::system::error_code& error) {
+        if (!error)
+            run();
+    });
+}
+
+void Scenario::runFor(Duration time)
+{
+    Instant end = m_clock.now() + time;
+    runUntil(time, [&] { return m_clock.now() >= end; });
+}
+
+bool Scenario::runUntil(Duration most, const std::function<bool()>& condition)
+{
+    Instant end = m_clock.now() + most;
+    while (!condition()) {
+        if (m_clock.now() >= end)
+            return condition();
+        m_store.tick();
+        m_context.run_for(milliseconds(2));
+    }
+    return true;
+}
+
+Duration Scenario::between(Duration least, Duration most)
+{
+    return least + scaled(most - least, m_random.fraction());
+}
+
+void Scenario::ask(bool fanOut)
+{
+    Host& host = *m_hosts[m_random.below(m_hosts.size())];
+    auto free = std::find_if(host.callers.begin(), host.callers.end(), [](const auto& caller) { return !caller->busy(); });
+    if (free == host.callers.end())
+        return;
+    std::string id = "q" + std::to_string(m_seed) + "-" + std::to_string(++m_lastId);
+    m_checker.asked(id);
+    (*free)->ask((fanOut ? "/fan/" : "/once/") + id, id, fanOut, patience, [this](const CallerSight& sight) { m_checker.answered(sight); });
+}
+
+void Scenario::load()
+{
+    if (!m_loading)
+        return;
+    ask(m_random.chance(0.7));
+    after(callInterval, [this] { load(); });
+}
+
+void Scenario::hostFault()
+{
+    Host& host = *m_hosts[m_random.below(m_hosts.size())];
+    if (host.disturbed)
+        return;
+    host.disturbed = true;
+    std::string name = host.settings.substr(0, host.settings.find('\n'));
+    switch (m_random.below(3)) {
+    case 0:
+        note("kill " + name);
+        host.process.reset();
+        after(between(milliseconds(50), milliseconds(1000)), [this, &host] { start(host); });
+        return;
+    case 1:
+        note("freeze " + name);
+        host.process->signal(SIGSTOP);
+        after(between(milliseconds(50), milliseconds(2500)), [&host] {
+            host.process->signal(SIGCONT);
+            host.disturbed = false;
+        });
+        return;
+    default:
+        note("stop " + name);
+        host.process->signal(SIGTERM);
+        after(longestStop, [this, &host] {
+            auto code = host.process->exitCode();
+            if (!code || *code != 0)
+                note("FAULT a stop did not end in time with 0");
+            start(host);
+        });
+    }
+}
+
+void Scenario::targetFault()
+{
+    Target& target = *m_targets[m_random.below(m_targets.size())];
+    Duration length = between(milliseconds(100), milliseconds(2000));
+    StandinService::Behaviour& behaviour = target.behaviour;
+    auto mode = static_cast<Proxy::Mode>(1 + m_random.below(3));
+    std::uint64_t which = m_random.below(8);
+    note("target " + target.name + ", fault " + std::to_string(which) + " for " + formatDuration(std::chrono::duration_cast<milliseconds>(length)));
+    switch (which) {
+    case 0:
+        behaviour.takes = milliseconds(300);
+        break;
+    case 1:
+        behaviour.silent = true;
+        break;
+    case 2:
+        behaviour.status = 503;
+        behaviour.notRun = true;
+        break;
+    case 3:
+        behaviour.wrongId = "somebody-else";
+        break;
+    case 4:
+        target.proxy->reset();
+        break;
+    case 5:
+        target.proxy->silenceOpen();
+        break;
+    case 6:
+        target.proxy->setMode(mode);
+        break;
+    default:
+        target.draining = true;
+        announce(target);
+    }
+    after(length, [this, &target] {
+        target.behaviour = {};
+        target.proxy->setMode(Proxy::Mode::Pass);
+        if (std::exchange(target.draining, false))
+            announce(target);
+    });
+}
+
+void Scenario::storeFault()
+{
+    Proxy& proxy = *m_hosts[m_random.below(m_hosts.size())]->store;
+    auto mode = static_cast<Proxy::Mode>(1 + m_random.below(3));
+    note("a host's way to the store, mode " + std::to_string(static_cast<int>(mode)));
+    proxy.setMode(mode);
+    after(between(milliseconds(100), milliseconds(3000)), [&proxy] { proxy.setMode(Proxy::Mode::Pass); });
+}
+
+void Scenario::platformFault()
+{
+    if (m_random.chance(0.3)) {
+        note("the store forgets its history");
+        m_store.compact();
+        return;
+    }
+    auto fault = static_cast<StandinStore::Fault>(1 + m_random.below(4));
+    note("the store, fault " + std::to_string(static_cast<int>(fault)));
+    m_store.setFault(fault);
+    after(between(milliseconds(100), milliseconds(2500)), [this] { m_store.setFault(StandinStore::Fault::None); });
+}
+
+void Scenario::fault()
+{
+    if (!m_faulting)
+        return;
+    switch (m_random.below(8)) {
+    case 0:
+    case 1:
+        hostFault();
+        break;
+    case 2:
+        storeFault();
+        break;
+    case 3:
+        platformFault();
+        break;
+    case 4:
+        publish();
+        break;
+    default:
+        targetFault();
+    }
+    after(between(milliseconds(20), milliseconds(500)), [this] { fault(); });
+}
+
+void Scenario::heal()
+{
+    m_faulting = false;
+    // The ends of the faults that are still on are due within this time.
+    runFor(longestStop + milliseconds(500));
+    note("healed");
+}
+
+void Scenario::checkRecovery()
+{
+    runFor(recoveryTime);
+    m_loading = false;
+    runFor(patience + milliseconds(200));
+    std::size_t before = m_checker.served();
+    for (std::size_t i = 0; i < recoveryCalls; ++i) {
+        ask(i % 2);
+        runFor(callInterval);
+    }
+    runFor(patience + milliseconds(200));
+    std::size_t served = m_checker.served() - before;
+    if (served + 1 < recoveryCalls)
+        note("FAULT after recovery " + std::to_string(served) + " of " + std::to_string(recoveryCalls) + " calls were served");
+}
+
+ScenarioResult Scenario::play(Duration length)
+{
+    m_loading = true;
+    load();
+    bool serves = runUntil(milliseconds(5000), [this] { return m_checker.served() > 20; });
+    if (!serves)
+        note("FAULT the fleet did not begin to serve");
+    m_faulting = true;
+    fault();
+    runFor(length);
+    heal();
+    checkRecovery();
+    m_checker.finish();
+    ScenarioResult result;
+    result.faults = m_checker.faults();
+    for (const std::string& event : m_events) {
+        if (event.find("FAULT") != std::string::npos)
+            result.faults.push_back(event);
+    }
+    result.events = m_events;
+    for (auto& host : m_hosts)
+        result.logs.insert(result.logs.end(), host->logs.begin(), host->logs.end());
+    result.served = m_checker.served();
+    result.refused = m_checker.refused();
+    result.lost = m_checker.lost();
+    return result;
+}
+
+} // namespace pimentopoint
--- a/test/ChildProcess.h
+++ b/test/ChildProcess.h
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
+#include <optional>
 #include <spawn.h>
 #include <stdexcept>
 #include <string>
@@ -59,6 +60,15 @@
         m_pid = 0;
         return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
     }
+    /// \returns its exit code, or minus the signal that ended it; nothing while it runs
+    std::optional<int> exitCode()
+    {
+        int status = 0;
+        if (m_pid <= 0 || waitpid(m_pid, &status, WNOHANG) != m_pid)
+            return std::nullopt;
+        m_pid = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
     std::string log() const { return m_folder + "/log"; }
 
 private:
