--- a/Pimentopoint/src/Core/HttpServer.cpp
+++ b/Pimentopoint/src/Core/HttpServer.cpp
@@ -1,11 +1,17 @@
 #include "HttpServer.h"
 
+#include "Clock.h"
 #include "HttpServerFailure.h"
 #include "Log.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <civetweb.h>
 #include <cstring>
+#include <stop_token>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
 
 namespace pimentopoint {
 
@@ -13,6 +19,22 @@
 
     constexpr const char* requestTimeoutMilliseconds = "5000";
     constexpr const char* keepAliveMilliseconds = "2000";
+    /// Between two connections that wake the thread that accepts; short beside a time to stop.
+    constexpr Duration wakeInterval = std::chrono::milliseconds(20);
+
+    /// Connects to \a endpoint and closes the connection; whether it succeeds does not matter.
+    void connectOnce(const Endpoint& endpoint)
+    {
+        int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        if (socket < 0)
+            return;
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint.port());
+        inet_pton(AF_INET, endpoint.address().c_str(), &address.sin_addr);
+        connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        close(socket);
+    }
 
     /// Counts a request from its headers to the last byte of its response.
     class RequestCount {
@@ -58,7 +80,8 @@
 } // namespace
 
 HttpServer::HttpServer(const Endpoint& endpoint, unsigned threads, std::size_t maxBodyBytes, Hook hook)
-    : m_maxBodyBytes(maxBodyBytes)
+    : m_endpoint(endpoint)
+    , m_maxBodyBytes(maxBodyBytes)
     , m_hook(std::move(hook))
 {
     std::string port = endpoint.text();
@@ -85,6 +108,13 @@
 {
     if (!m_context)
         return;
+    // CivetWeb's thread that accepts looks whether it is to end only every two seconds, or when a connection comes.
+    std::jthread waker([this](const std::stop_token& token) {
+        while (!token.stop_requested()) {
+            std::this_thread::sleep_for(wakeInterval);
+            connectOnce(m_endpoint);
+        }
+    });
     mg_stop(m_context);
     m_context = nullptr;
 }
--- a/Pimentopoint/src/Core/HttpServer.h
+++ b/Pimentopoint/src/Core/HttpServer.h
@@ -58,6 +58,7 @@
     void respond(mg_connection* connection, const HttpResponse& response, bool close);
 
     mg_context* m_context = nullptr;
+    Endpoint m_endpoint;
     std::size_t m_maxBodyBytes;
     Hook m_hook;
     std::atomic<bool> m_draining { false };
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -19,6 +19,8 @@
     constexpr unsigned mostCallLines = 40;
     /// For which new connections still come after readiness is gone: a balancer asks once a second and acts on the second miss.
     constexpr Duration balancerTime = std::chrono::milliseconds(2500);
+    /// Most of a short time to stop that is spent so.
+    constexpr double balancerPart = 0.45;
     /// Before the end of the time to stop: left for writing last answers.
     constexpr Duration lastAnswers = std::chrono::milliseconds(700);
     constexpr Duration exitMargin = std::chrono::milliseconds(350);
@@ -196,54 +198,63 @@
     return m_engine.routing() && m_feed.complete();
 }
 
+void EdgeHost::setReady(bool ready)
+{
+    if (ready == m_ready)
+        return;
+    m_ready = ready;
+    std::uint64_t version = m_engine.routing() ? m_engine.routing()->version().value() : 0;
+    Log::event(Severity::Info, ready ? "ready" : "not-ready", { { "targets", std::uint64_t(m_pool.size()) }, { "version", version } });
+}
+
+void EdgeHost::everySecond(Instant now)
+{
+    m_linesLeft = mostCallLines;
+    if (m_linesDropped) {
+        Log::event(Severity::Warning, "call-lines-left-out", { { "count", m_linesDropped }, { "cause", "more calls in a second than are logged" } });
+        m_linesDropped = 0;
+    }
+    m_callers.check(now);
+    if (m_hostCallers)
+        m_hostCallers->check(now);
+    m_targets.sweep(now);
+    m_pool.forget(now);
+    countHosts();
+    reloadSettings("the file changed");
+    Log::flush();
+}
+
+bool EdgeHost::continueStop(Instant now)
+{
+    Duration since = now - *m_stopSince;
+    bool unlisted = since > std::min(balancerTime, scaled(m_settings.stopTime, balancerPart));
+    if (unlisted)
+        m_callers.closeIdle();
+    if (since > m_settings.stopTime - lastAnswers) {
+        CallActions actions;
+        m_engine.expireAll(now, actions);
+        perform(actions);
+    }
+    bool quiet = unlisted && !m_callers.connections() && (!m_hostCallers || m_hostCallers->idle());
+    return quiet || since > m_settings.stopTime - exitMargin;
+}
+
 void EdgeHost::tick()
 {
     Instant now = m_clock.now();
     m_feed.tick();
     if (now >= m_nextSecond) {
         m_nextSecond = now + second;
-        m_linesLeft = mostCallLines;
-        if (m_linesDropped) {
-            Log::event(Severity::Warning, "call-lines-left-out", { { "count", m_linesDropped }, { "cause", "more calls in a second than are logged" } });
-            m_linesDropped = 0;
-        }
-        m_callers.check(now);
-        if (m_hostCallers)
-            m_hostCallers->check(now);
-        m_targets.sweep(now);
-        m_pool.forget(now);
-        countHosts();
-        reloadSettings("the file changed");
-        Log::flush();
-        bool ready = known() && !m_stopSince;
-        if (ready != m_ready) {
-            m_ready = ready;
-            Log::event(Severity::Info, ready ? "ready" : "not-ready", { { "targets", std::uint64_t(m_pool.size()) } });
-        }
-    } else if (!m_ready && known() && !m_stopSince) {
-        m_ready = true;
-        Log::event(Severity::Info, "ready", { { "targets", std::uint64_t(m_pool.size()) }, { "version", m_engine.routing()->version() } });
+        everySecond(now);
     }
+    setReady(known() && !m_stopSince);
     m_members.tick();
     if (!m_stopSince) {
         for (const TargetPool::Choice& choice : m_pool.unconnected(connectionsAhead, now))
             m_targets.open(choice.name, choice.endpoint);
-    }
-    if (m_stopSince) {
-        Duration since = now - *m_stopSince;
-        if (since > balancerTime)
-            m_callers.closeIdle();
-        bool quiet = since > balancerTime && !m_callers.connections() && (!m_hostCallers || m_hostCallers->idle());
-        if (since > m_settings.stopTime - lastAnswers) {
-            CallActions actions;
-            m_engine.expireAll(now, actions);
-            perform(actions);
-        }
-        if (quiet || since > m_settings.stopTime - exitMargin) {
-            m_stopped = true;
-            m_context.stop();
-            return;
-        }
+    } else if (continueStop(now)) {
+        m_context.stop();
+        return;
     }
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](const boost::system::error_code& error) {
--- a/daemons/EdgeHost.h
+++ b/daemons/EdgeHost.h
@@ -36,6 +36,10 @@
     void beginStop();
     void reloadSettings(const char* cause);
     void tick();
+    void everySecond(Instant now);
+    /// Does what is due of a stop that has begun; \returns whether the process may end
+    bool continueStop(Instant now);
+    void setReady(bool ready);
     void armTimer();
     void perform(CallActions& actions);
     void takeNews(const std::vector<StoreItem>& items);
@@ -71,7 +75,6 @@
     std::atomic<bool> m_ready { false };
     std::unique_ptr<HttpServer> m_readiness;
     std::optional<Instant> m_stopSince;
-    bool m_stopped = false;
     Instant m_nextSecond {};
     unsigned m_linesLeft = 0; ///< Lines about calls that may be logged in this second.
     std::uint64_t m_linesDropped = 0;
--- a/soak/Scenario.cpp
+++ b/soak/Scenario.cpp
@@ -237,7 +237,7 @@
         after(longestStop, [this, &host] {
             auto code = host.process->exitCode();
             if (!code || *code != 0)
-                note("FAULT a stop did not end in time with 0");
+                note("FAULT a stop of " + host.logs.back() + (code ? " ended with " + std::to_string(*code) : " did not end in time"));
             start(host);
         });
     }
