--- /dev/null
+++ b/test/HostLinkTest.cpp
@@ -0,0 +1,165 @@
+#include "../Pimentopoint/src/Net/HttpText.h"
+#include "../platform/Dialect.h"
+#include "Ports.h"
+
+#include <Pimentopoint/Net>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace pimentopoint;
+
+namespace {
+
+/// One host that sends, one that runs, on one loop.
+struct TwoHosts {
+    boost::asio::io_context context { 1 };
+    BootClock clock;
+    Metrics metrics;
+    Endpoint endpoint = test::freeEndpoint();
+    std::shared_ptr<const CallerRequest> got;
+    std::optional<CallId> call;
+    int left = 0;
+    std::vector<SendId> begun;
+    std::optional<TargetReply> reply;
+    CallerServer server { context, clock, platform::headerDialect(), endpoint, 8, hooks() };
+    TargetLinks links { context, clock, platform::headerDialect(), metrics, [this](SendId, TargetReply each) { reply = std::move(each); }, [](const TargetName&, std::size_t) {} };
+
+    TwoHosts()
+    {
+        links.onBegun([this](SendId send) { begun.push_back(send); });
+    }
+
+    CallerServer::Hooks hooks()
+    {
+        CallerServer::Hooks hooks;
+        hooks.request = [this](CallId id, std::shared_ptr<const CallerRequest> request) {
+            call = id;
+            got = std::move(request);
+        };
+        hooks.left = [this](CallId) { ++left; };
+        hooks.limits = [] { return CallerLimits(); };
+        hooks.fromHosts = true;
+        return hooks;
+    }
+
+    void send(std::vector<std::size_t> shards)
+    {
+        auto request = std::make_shared<CallerRequest>();
+        request->id = "id1";
+        request->method = "GET";
+        request->target = "/q?x=1";
+        request->headers = { { "Host", "h.example" }, { platform::headerDialect().requestId, request->id }, { "X-Other", "kept" } };
+        Delegation delegation { ConfigurationVersion(7), Duration(1234), std::move(shards) };
+        links.send({ SendId(5), TargetName("other"), endpoint, request, clock.now() + std::chrono::seconds(5), false, std::move(delegation) });
+    }
+
+    bool until(const std::function<bool()>& condition)
+    {
+        for (int turns = 0; turns < 5000 && !condition(); ++turns)
+            context.run_for(std::chrono::milliseconds(2));
+        return condition();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a host is told the version, the time spent and the shards, says that it begins, and its answer is read whole")
+{
+    for (bool all : { true, false }) {
+        INFO("all shards: " << all);
+        TwoHosts hosts;
+        hosts.send(all ? std::vector<std::size_t>() : std::vector<std::size_t> { 0, 5, 35 });
+        REQUIRE(hosts.until([&] { return !hosts.begun.empty(); }));
+        CHECK(hosts.begun == std::vector { SendId(5) });
+        REQUIRE(hosts.got->delegation);
+        CHECK(hosts.got->delegation->version == ConfigurationVersion(7));
+        CHECK(hosts.got->delegation->spent == Duration(1234));
+        CHECK(hosts.got->delegation->shards.size() == (all ? 0 : 3));
+        CHECK(hosts.got->target == "/q?x=1");
+        // Only what the caller sent goes on to targets.
+        CHECK(hosts.got->headers.size() == 3);
+        CallerAnswer answer;
+        answer.status = 200;
+        answer.fannedOut = true;
+        answer.partStamps = "a, b";
+        answer.missingParts = 1;
+        answer.body = "body";
+        hosts.server.answer(*hosts.call, answer);
+        REQUIRE(hosts.until([&] { return hosts.reply.has_value(); }));
+        CHECK(hosts.reply->end == TargetReply::End::Answered);
+        CHECK_FALSE(hosts.reply->notRun);
+        CHECK(hosts.reply->partStamps == "a, b");
+        CHECK(hosts.reply->missingParts == 1);
+        CHECK(hosts.reply->body == "body");
+        CHECK(hosts.reply->took >= Duration(0));
+    }
+}
+
+TEST_CASE("a host's refusal counts as not run, its failure as run, and a success without signatures as lost")
+{
+    struct Case {
+        const char* name;
+        unsigned status;
+        bool signatures;
+        TargetReply::End end;
+        bool notRun;
+    };
+    const Case cases[] = {
+        { "refused", 503, false, TargetReply::End::Answered, true },
+        { "failed", 502, false, TargetReply::End::Answered, false },
+        { "no signatures", 200, false, TargetReply::End::Lost, false },
+    };
+    for (const Case& each : cases) {
+        INFO(each.name);
+        TwoHosts hosts;
+        hosts.send({ 1 });
+        REQUIRE(hosts.until([&] { return hosts.call.has_value(); }));
+        CallerAnswer answer;
+        answer.status = each.status;
+        answer.fannedOut = each.signatures;
+        hosts.server.answer(*hosts.call, answer);
+        REQUIRE(hosts.until([&] { return hosts.reply.has_value(); }));
+        CHECK(hosts.reply->end == each.end);
+        CHECK(hosts.reply->notRun == each.notRun);
+    }
+}
+
+TEST_CASE("a host that no longer needs an answer closes the connection, and the other one notices")
+{
+    TwoHosts hosts;
+    hosts.send({});
+    REQUIRE(hosts.until([&] { return hosts.call.has_value(); }));
+    hosts.links.abort(SendId(5));
+    CHECK(hosts.until([&] { return hosts.left == 1; }));
+    CHECK_FALSE(hosts.reply);
+}
+
+TEST_CASE("a request of another host without a version, or with nonsense in it, is refused as bad")
+{
+    const std::string id = platform::headerDialect().requestId + ": id1\r\n";
+    for (const char* headers : { "", "Pimentopoint-Version: 7\r\n", "Pimentopoint-Version: x\r\nPimentopoint-Spent: 1\r\n", "Pimentopoint-Version: 7\r\nPimentopoint-Spent: -1\r\n",
+             "Pimentopoint-Version: 7\r\nPimentopoint-Spent: 1\r\nPimentopoint-Shards: 1,,2\r\n" }) {
+        INFO(headers);
+        TwoHosts hosts;
+        boost::asio::ip::tcp::socket socket(hosts.context);
+        socket.connect({ boost::asio::ip::make_address_v4(hosts.endpoint.address()), hosts.endpoint.port() });
+        boost::asio::write(socket, boost::asio::buffer("GET /q HTTP/1.1\r\nHost: h\r\n" + id + headers + "\r\n"));
+        std::string answer(256, '\0');
+        bool done = false;
+        socket.async_read_some(boost::asio::buffer(answer), [&](const boost::system::error_code&, std::size_t) { done = true; });
+        REQUIRE(hosts.until([&] { return done; }));
+        CHECK(answer.starts_with("HTTP/1.1 400 "));
+        CHECK_FALSE(hosts.call);
+    }
+}
+
+TEST_CASE("lists of numbers between hosts")
+{
+    CHECK(parseNumbers("") == std::vector<std::size_t> {});
+    CHECK(parseNumbers("3") == std::vector<std::size_t> { 3 });
+    CHECK(parseNumbers("0,12,7") == std::vector<std::size_t> { 0, 12, 7 });
+    CHECK(joinNumbers({ 0, 12, 7 }) == "0,12,7");
+    for (const char* wrong : { ",", "1,,2", "1 ,2", "-1", "x", "99999999999999999999999" })
+        CHECK_FALSE(parseNumbers(wrong));
+}
