Leave alone a data centre of which two hosts fell silent

Cause: when a data centre loses its power, each host may lose a call to one aggregating host after another there until membership has noticed them all; in the test below some lost four. Change: AggregatorPool skips a data centre while two of its hosts count as silent (4 s each). Tests: 'when two hosts of a data centre fall silent ...' (red before: 4 lost).

--- a/Pimentopoint/src/Serve/AggregatorPool.cpp
+++ b/Pimentopoint/src/Serve/AggregatorPool.cpp
@@ -1,6 +1,7 @@
 #include "AggregatorPool.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace pimentopoint {
@@ -24,6 +25,8 @@
     constexpr Duration unreachableBackoff = std::chrono::milliseconds(500);
     /// After a call was lost: longer than membership takes to notice a host that is gone; another host, or this one, serves meanwhile.
     constexpr Duration silentBackoff = std::chrono::seconds(4);
+    /// Hosts of a data centre that fall silent at about the same time for one cause.
+    constexpr std::ptrdiff_t silentHosts = 2;
     /// After a refusal: it is busy, or knows another version for the time that news takes.
     constexpr Duration refusedBackoff = std::chrono::milliseconds(200);
     /// Weight of the latest answer in what is learnt of the ways.
@@ -106,6 +109,8 @@
 
 std::optional<AggregatorPool::Choice> AggregatorPool::strongerAtHome(Instant now) const
 {
+    if (silent(m_self.dataCentre(), now))
+        return std::nullopt;
     for (const Host* host : m_ranked) {
         const MemberRecord& record = host->record;
         bool suits = record.dataCentre() == m_self.dataCentre() && record.millicores() >= muchStronger * m_self.millicores();
@@ -118,10 +123,15 @@
 std::optional<AggregatorPool::Choice> AggregatorPool::elsewhere(Scope scope, const std::map<DataCentreName, std::size_t>& shards, Instant now) const
 {
     double enough = goodReach * static_cast<double>(mostShards(shards));
+    std::set<DataCentreName> left;
+    for (const auto& [dataCentre, count] : shards) {
+        if (silent(dataCentre, now))
+            left.insert(dataCentre);
+    }
     for (const Host* host : m_ranked) {
         const MemberRecord& record = host->record;
         auto found = shards.find(record.dataCentre());
-        bool suits = record.dataCentre() != m_self.dataCentre() && found != shards.end() && static_cast<double>(found->second) >= enough;
+        bool suits = record.dataCentre() != m_self.dataCentre() && !left.contains(record.dataCentre()) && found != shards.end() && static_cast<double>(found->second) >= enough;
         if (suits && free(*host, now))
             return Choice { scope, record.name(), record.http(), host->ways.value_or(Duration(0)) };
     }
@@ -176,6 +186,18 @@
         m_observer(host.record.name(), "aggregator-doubted", why);
 }
 
+void AggregatorPool::fallSilent(Host& host, std::string_view why, Instant now)
+{
+    doubt(host, silentBackoff, why, now);
+    host.silentUntil = now + silentBackoff;
+}
+
+bool AggregatorPool::silent(const DataCentreName& dataCentre, Instant now) const
+{
+    auto count = std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto& entry) { return entry.second.record.dataCentre() == dataCentre && now < entry.second.silentUntil; });
+    return count >= silentHosts;
+}
+
 void AggregatorPool::ended(const MemberName& name, SendId send, const TargetReply& reply, Instant now)
 {
     auto exchange = take(name, send);
@@ -183,7 +205,10 @@
         return;
     Host& host = m_hosts.at(name);
     if (reply.end != TargetReply::End::Answered) {
-        doubt(host, reply.end == TargetReply::End::NotSent ? unreachableBackoff : silentBackoff, reply.cause, now);
+        if (reply.end == TargetReply::End::NotSent)
+            doubt(host, unreachableBackoff, reply.cause, now);
+        else
+            fallSilent(host, reply.cause, now);
         return;
     }
     if (reply.notRun) {
@@ -204,7 +229,7 @@
 void AggregatorPool::abandoned(const MemberName& name, SendId send, bool silent, Instant now)
 {
     if (take(name, send) && silent)
-        doubt(m_hosts.at(name), silentBackoff, "it did not answer", now);
+        fallSilent(m_hosts.at(name), "it did not answer", now);
 }
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Serve/AggregatorPool.h
+++ b/Pimentopoint/src/Serve/AggregatorPool.h
@@ -28,7 +28,8 @@
 /// \details All of a fan-out is given to a host of the same data centre with much more processor time, which serves sooner and sees more of
 /// each target's replies, or to one of another data centre if this one lacks most of the targets. If it lacks some, only their shards are given away:
 /// one merged answer crosses between the data centres instead of many parts. Each host prefers one such host of its own, so that one
-/// that falls silent costs few callers. Events in, choices out.
+/// that falls silent costs few callers; where several of a data centre do, it is cut off or without power, and the others there are
+/// not tried for a while. Events in, choices out.
 class AggregatorPool {
 public:
     /// What is given to another host.
@@ -73,6 +74,7 @@
         std::optional<Duration> ways; ///< Smoothed; nothing before the first answer.
         unsigned failures = 0; ///< In a row.
         Instant avoidUntil {};
+        Instant silentUntil {}; ///< Until which its silence counts against its data centre.
     };
 
     void rank();
@@ -80,6 +82,9 @@
     std::optional<Choice> elsewhere(Scope scope, const std::map<DataCentreName, std::size_t>& shards, Instant now) const;
     std::optional<Choice> strongerAtHome(Instant now) const;
     bool free(const Host& host, Instant now) const;
+    /// \returns whether so many hosts of \a dataCentre fell silent of late that the others there are not tried
+    bool silent(const DataCentreName& dataCentre, Instant now) const;
+    void fallSilent(Host& host, std::string_view why, Instant now);
     static void avoid(Host& host, Duration backoff, Instant now);
     void doubt(Host& host, Duration backoff, std::string_view why, Instant now);
     std::optional<Outstanding> take(const MemberName& name, SendId send);
--- a/test/AggregatorTest.cpp
+++ b/test/AggregatorTest.cpp
@@ -173,6 +173,36 @@
     CHECK(pool.choose(everywhere, false, millisecond(11)));
 }
 
+TEST_CASE("when two hosts of a data centre fall silent, no other one there is tried for a while")
+{
+    const ShardReach lacking { { { DataCentreName("a"), 30 }, { DataCentreName("b"), 36 }, { DataCentreName("c"), 36 } }, { 0, 1, 2, 3 }, { { DataCentreName("b"), 4 }, { DataCentreName("c"), 4 } } };
+    std::vector<MemberRecord> others;
+    for (int i = 0; i < 10; ++i) {
+        others.push_back(hostOf("b" + std::to_string(i), "b"));
+        others.push_back(hostOf("c" + std::to_string(i), "c"));
+    }
+    for (int self = 0; self < 50; ++self) {
+        AggregatorPool pool = poolOf(hostOf("self-" + std::to_string(self), "a"), others);
+        int lost = 0;
+        for (int time = 0; time < 4000; time += 20) {
+            auto choice = pool.choose(lacking, false, millisecond(time));
+            REQUIRE(choice);
+            SendId send(static_cast<std::uint64_t>(time + 1));
+            pool.sent(choice->name, send, std::chrono::milliseconds(100), millisecond(time));
+            // Data centre b has no power.
+            if (choice->name.value().starts_with("b")) {
+                ++lost;
+                pool.abandoned(choice->name, send, true, millisecond(time + 10));
+            } else {
+                TargetReply reply = aggregate();
+                reply.took = std::chrono::milliseconds(9);
+                pool.ended(choice->name, send, reply, millisecond(time + 10));
+            }
+        }
+        CHECK(lost <= 2);
+    }
+}
+
 TEST_CASE("a call that another host runs is passed on unchanged, with the caller's time that is left")
 {
     DelegatingFleet fleet;
