Ask for the shards in force after the index is cut anew; divide what grew long

Cause: where the shards of a route have targets is looked up once in 200 ms, but was not looked up again when a new version named other shards: a host asked for shards of the old numbering, and with fewer shards read past the end of a call's parts. Found by reading for the landing. Change: what is looked up holds for one version. Tests: 'when the index is cut anew ...' (red before: shards 0, 1, 2 asked for of a route with two).

--- a/Pimentopoint/src/Serve/RouteMemory.h
+++ b/Pimentopoint/src/Serve/RouteMemory.h
@@ -26,8 +26,9 @@
     /// \returns the service whose turn it is, by the weights of \a route
     ServiceName nextService(const RoutePolicy& route);
 
-    ShardReach reach; ///< Of the route's shards, as of reachAt.
+    ShardReach reach; ///< Of the route's shards in reachVersion, as of reachAt.
     Instant reachAt = Instant::min();
+    ConfigurationVersion reachVersion;
 
 private:
     LatencyWindow m_latencies;
--- a/test/CallTest.cpp
+++ b/test/CallTest.cpp
@@ -6,14 +6,6 @@
 
 namespace {
 
-void discover(ServeFleet& fleet, std::size_t shards, int replicas = 3)
-{
-    for (std::size_t i = 0; i < shards; ++i) {
-        for (int r = 0; r < replicas; ++r)
-            fleet.pool.put(targetOf("s" + std::to_string(i), r + 1, std::string(1, static_cast<char>('a' + r))), millisecond(0));
-    }
-}
-
 std::string record(char c)
 {
     return std::string(recordBytes, c);
@@ -300,54 +292,6 @@
     }
 }
 
-TEST_CASE("a call that waits while a process starts is refused well before its caller's deadline")
-{
-    Metrics metrics;
-    TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
-    std::vector<std::string> reasons;
-    AggregatorPool aggregators = noAggregators();
-    CallEngine engine(pool, aggregators, metrics, CallLimits(), [&](const CallRecord& record) { reasons.emplace_back(record.reason); });
-    auto request = [](int patience) {
-        auto made = std::make_shared<CallerRequest>();
-        made->host = "single.example";
-        made->target = "/";
-        made->patience = std::chrono::milliseconds(patience);
-        return made;
-    };
-    CallActions actions;
-    engine.begin(CallId(1), request(5000), millisecond(0), actions);
-    engine.begin(CallId(2), request(100), millisecond(0), actions);
-    engine.begin(CallId(3), request(5000), millisecond(0), actions);
-    REQUIRE(engine.nextWake());
-    CHECK(*engine.nextWake() <= millisecond(50));
-    engine.tick(millisecond(50), actions);
-    REQUIRE(actions.answers.size() == 1);
-    CHECK(actions.answers[0].call == CallId(2));
-    // Whoever leaves meanwhile leaves a line.
-    engine.callerLeft(CallId(3), millisecond(60), actions);
-    CHECK(reasons.size() == 2);
-    engine.expireAll(millisecond(70), actions);
-    REQUIRE(actions.answers.size() == 2);
-    CHECK(reasons.back() == "the process stops");
-}
-
-TEST_CASE("a process that stops says so for the calls it gives up, and answers those it can")
-{
-    ServeFleet fleet({ fanOutRoute(4), singleRoute("one") });
-    discover(fleet, 4, 1);
-    fleet.pool.put(targetOf("one", 1), millisecond(0));
-    CallId enough = fleet.ask("fan.example", millisecond(0));
-    for (int i = 0; i < 3; ++i)
-        fleet.reply(fleet.sends.begin()->first, ServeFleet::ok("x"), millisecond(5));
-    CallId none = fleet.ask("single.example", millisecond(10));
-    CallActions actions;
-    fleet.engine.expireAll(millisecond(20), actions);
-    fleet.take(actions);
-    CHECK(fleet.answers[enough].status == 200);
-    CHECK(fleet.answers[none].status == 504);
-    CHECK(std::count(fleet.reasons.begin(), fleet.reasons.end(), "the process stops") == 1);
-}
-
 TEST_CASE("work for a caller that left ends soon")
 {
     ServeFleet fleet({ singleRoute("one") });
@@ -375,49 +319,6 @@
     }
 }
 
-TEST_CASE("without routes a host refuses as not run; an unknown route is not found")
-{
-    Metrics metrics;
-    TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
-    AggregatorPool aggregators = noAggregators();
-    CallEngine engine(pool, aggregators, metrics, CallLimits(), [](const CallRecord&) {});
-    CallActions actions;
-    auto request = std::make_shared<CallerRequest>();
-    request->target = "/";
-    engine.begin(CallId(1), request, millisecond(0), actions);
-    CHECK(actions.answers.empty());
-    engine.tick(millisecond(250), actions);
-    REQUIRE(actions.answers.size() == 1);
-    CHECK(actions.answers[0].answer.status == 503);
-    CHECK(actions.answers[0].answer.retryAfter > Duration(0));
-    ServeFleet fleet({ singleRoute("one") });
-    CallId call = fleet.ask("other.example", millisecond(0));
-    CHECK(fleet.answers[call].status == 404);
-}
-
-TEST_CASE("a call that comes while a process starts is served once the routes are known")
-{
-    Metrics metrics;
-    TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
-    AggregatorPool aggregators = noAggregators();
-    CallEngine engine(pool, aggregators, metrics, CallLimits(), [](const CallRecord&) {});
-    CallActions actions;
-    auto request = std::make_shared<CallerRequest>();
-    request->host = "single.example";
-    request->target = "/";
-    request->patience = std::chrono::seconds(1);
-    engine.begin(CallId(1), request, millisecond(0), actions);
-    engine.begin(CallId(2), request, millisecond(0), actions);
-    engine.callerLeft(CallId(2), millisecond(10), actions);
-    RoutingTable::Parts parts;
-    parts.routes.push_back(singleRoute("one"));
-    engine.setRouting(std::make_shared<const RoutingTable>(std::move(parts)));
-    pool.put(targetOf("one", 1), millisecond(40));
-    engine.open(millisecond(40), actions);
-    CHECK(actions.answers.empty());
-    CHECK(actions.sends.size() == 1);
-}
-
 TEST_CASE("weighted services get their share of the requests")
 {
     RoutePolicy route = singleRoute("one");
@@ -432,3 +333,31 @@
     CHECK(fleet.arrivals[TargetName("one-1")] == 30);
     CHECK(fleet.arrivals[TargetName("two-2")] == 10);
 }
+
+TEST_CASE("a part that finds no connection waits for one while the other parts are at work")
+{
+    // One connection a target: a second call waits for the shard whose targets are all at work.
+    ServeFleet fleet({ fanOutRoute(2, 1) }, 1);
+    for (int shard = 0; shard < 2; ++shard) {
+        for (int replica = 1; replica <= 1 + shard; ++replica)
+            fleet.pool.put(targetOf("s" + std::to_string(shard), replica), millisecond(0));
+    }
+    CallId first = fleet.ask("fan.example", millisecond(0));
+    CallId second = fleet.ask("fan.example", millisecond(0));
+    auto reply = [&](const std::string& target, std::int64_t at) {
+        for (auto [id, send] : std::map(fleet.sends)) {
+            if (send.target.value().starts_with(target))
+                fleet.reply(id, ServeFleet::ok(send.target.value() + std::to_string(at)), millisecond(at));
+        }
+    };
+    reply("s1", 10);
+    for (int time = 20; time < 140; time += 20)
+        fleet.tick(millisecond(time));
+    CHECK(fleet.answers.empty());
+    reply("s0", 140);
+    reply("s0", 150);
+    REQUIRE(fleet.answers.contains(first));
+    REQUIRE(fleet.answers.contains(second));
+    CHECK(fleet.answers[second].status == 200);
+    CHECK(fleet.answers[second].missingParts == 0);
+}
--- a/test/AggregatorTest.cpp
+++ b/test/DelegationTest.cpp
@@ -6,23 +6,6 @@
 
 namespace {
 
-MemberRecord hostOf(const std::string& name, const std::string& dataCentre, std::uint32_t millicores = 120)
-{
-    MemberRecord record(MemberName(name), MemberRole::Front, DataCentreName(dataCentre), Incarnation(1));
-    record.setEndpoints(Endpoint("10.0.1.1", 7000), Endpoint("10.0.1.1", 7000), Endpoint("10.0.1.1", 7001));
-    record.setMillicores(millicores);
-    return record;
-}
-
-AggregatorPool poolOf(const MemberRecord& self, const std::vector<MemberRecord>& others)
-{
-    AggregatorPool pool(self, [](const MemberName&, std::string_view, std::string_view) {});
-    pool.setMembers(others);
-    return pool;
-}
-
-const ShardReach everywhere { { { DataCentreName("a"), 36 }, { DataCentreName("b"), 36 } }, {}, {} };
-
 /// A fan-out fleet whose host "self" in data centre "a" knows one strong host beside it, "big".
 struct DelegatingFleet : ServeFleet {
     explicit DelegatingFleet(std::vector<MemberRecord> others = { hostOf("big", "a", 8000) })
@@ -41,168 +24,8 @@
     }
 };
 
-std::string recordOf(char letter)
-{
-    return std::string(recordBytes, letter);
-}
-
-TargetReply aggregate(unsigned status = 200)
-{
-    TargetReply reply = ServeFleet::ok("x, y, z", recordOf('e') + recordOf('c'));
-    reply.status = status;
-    reply.partStamps = reply.stamp;
-    reply.missingParts = 1;
-    return reply;
-}
-
 } // namespace
 
-TEST_CASE("a fan-out is given away only to a much stronger host at home or to a data centre that has its targets")
-{
-    struct Case {
-        const char* name;
-        std::uint32_t own;
-        std::vector<MemberRecord> others;
-        ShardReach reach;
-        const char* chosen; ///< Empty: this host runs it.
-    };
-    const ShardReach away { { { DataCentreName("b"), 36 }, { DataCentreName("c"), 20 } }, {}, {} };
-    const ShardReach few { { { DataCentreName("a"), 10 }, { DataCentreName("b"), 36 } }, {}, {} };
-    const ShardReach most { { { DataCentreName("a"), 30 }, { DataCentreName("b"), 36 } }, { 0, 1, 2, 3, 4, 5 }, { { DataCentreName("b"), 6 }, { DataCentreName("c"), 2 } } };
-    MemberRecord suspect = hostOf("b1", "b");
-    suspect.setState(MemberState::Suspect);
-    MemberRecord leaving = hostOf("b1", "b");
-    leaving.setState(MemberState::Leaving);
-    MemberRecord without = hostOf("b1", "b");
-    without.setEndpoints(without.udp(), without.tcp(), Endpoint());
-    const Case cases[] = {
-        { "nobody else", 120, {}, everywhere, "" },
-        { "equal hosts", 250, { hostOf("a1", "a", 250), hostOf("b1", "b", 250) }, everywhere, "" },
-        { "a stronger host at home", 120, { hostOf("a1", "a", 500), hostOf("a2", "a") }, everywhere, "a1" },
-        { "a stronger host elsewhere", 120, { hostOf("b1", "b", 500) }, everywhere, "" },
-        { "little stronger", 300, { hostOf("a1", "a", 500) }, everywhere, "" },
-        { "no targets at home", 500, { hostOf("a1", "a"), hostOf("b1", "b"), hostOf("c1", "c") }, away, "b1" },
-        { "few targets at home", 500, { hostOf("b1", "b") }, few, "b1" },
-        { "most targets at home", 120, { hostOf("b1", "b", 500), hostOf("c1", "c", 500) }, most, "b1" },
-        { "most targets at home, a stronger host there", 120, { hostOf("b1", "b", 500), hostOf("a1", "a", 500) }, most, "a1" },
-        { "strong ones first elsewhere", 120, { hostOf("b1", "b"), hostOf("b2", "b"), hostOf("b3", "b", 500), hostOf("b4", "b") }, away, "b3" },
-        { "no targets anywhere", 120, { hostOf("a1", "a", 500) }, {}, "a1" },
-        { "a suspect", 120, { suspect }, away, "" },
-        { "one that leaves", 120, { leaving }, away, "" },
-        { "one that runs nothing for others", 120, { without }, away, "" },
-    };
-    for (const Case& each : cases) {
-        INFO(each.name);
-        AggregatorPool pool = poolOf(hostOf("self", "a", each.own), each.others);
-        auto choice = pool.choose(each.reach, false, millisecond(0));
-        CHECK((choice ? choice->name.value() : "") == each.chosen);
-    }
-}
-
-TEST_CASE("hosts spread over the strong ones, and each keeps to its own")
-{
-    std::vector<MemberRecord> strong;
-    for (int i = 0; i < 4; ++i)
-        strong.push_back(hostOf("strong-" + std::to_string(i), "a", 500));
-    std::map<MemberName, int> chosen;
-    for (int i = 0; i < 200; ++i) {
-        AggregatorPool pool = poolOf(hostOf("host-" + std::to_string(i), "a"), strong);
-        MemberName first = pool.choose(everywhere, false, millisecond(0))->name;
-        CHECK(pool.choose(everywhere, false, millisecond(5000))->name == first);
-        ++chosen[first];
-    }
-    CHECK(chosen.size() == 4);
-    for (const auto& [name, count] : chosen)
-        CHECK(count < 100);
-}
-
-TEST_CASE("an aggregating host that fails, refuses, falls silent or is full is left alone for a while")
-{
-    struct Case {
-        const char* name;
-        std::function<void(AggregatorPool&)> event;
-        int leftAloneUntil; ///< Milliseconds.
-    };
-    const MemberName host("a1");
-    auto answered = [&](TargetReply reply) {
-        return [&host, reply](AggregatorPool& pool) {
-            pool.sent(host, SendId(1), std::chrono::milliseconds(100), millisecond(0));
-            pool.ended(host, SendId(1), reply, millisecond(20));
-        };
-    };
-    TargetReply quick = aggregate();
-    quick.took = std::chrono::milliseconds(18);
-    const Case cases[] = {
-        { "answers", answered(quick), 0 },
-        { "breaks off", answered(ServeFleet::lost()), 4020 },
-        { "can't be reached", answered(ServeFleet::lost(TargetReply::End::NotSent)), 520 },
-        { "refuses", answered(ServeFleet::refused()), 220 },
-        { "reads its requests late", [&](AggregatorPool& pool) {
-             pool.sent(host, SendId(1), std::chrono::milliseconds(100), millisecond(0));
-             pool.ended(host, SendId(1), quick, millisecond(50));
-         },
-            550 },
-        { "stands still", [&](AggregatorPool& pool) { pool.sent(host, SendId(1), std::chrono::milliseconds(-1), millisecond(0)); }, 1 << 20 },
-        { "is given up", [&](AggregatorPool& pool) {
-             pool.sent(host, SendId(1), std::chrono::milliseconds(100), millisecond(0));
-             pool.abandoned(host, SendId(1), true, millisecond(100));
-         },
-            4100 },
-        { "has eight of ours at work", [&](AggregatorPool& pool) {
-             for (std::uint64_t i = 1; i <= 8; ++i)
-                 pool.sent(host, SendId(i), std::chrono::hours(1), millisecond(0));
-         },
-            1 << 20 },
-    };
-    for (const Case& each : cases) {
-        INFO(each.name);
-        AggregatorPool pool = poolOf(hostOf("self", "a"), { hostOf("a1", "a", 500) });
-        each.event(pool);
-        CHECK(pool.choose(everywhere, false, millisecond(each.leftAloneUntil)).has_value() == (each.leftAloneUntil < (1 << 20)));
-        if (each.leftAloneUntil)
-            CHECK_FALSE(pool.choose(everywhere, false, millisecond(each.leftAloneUntil - 1)));
-    }
-    // A restart is another process: what spoke against the old one is forgotten.
-    AggregatorPool pool = poolOf(hostOf("self", "a"), { hostOf("a1", "a", 500) });
-    pool.sent(host, SendId(1), std::chrono::milliseconds(100), millisecond(0));
-    pool.ended(host, SendId(1), ServeFleet::lost(), millisecond(10));
-    MemberRecord again(host, MemberRole::Front, DataCentreName("a"), Incarnation(2));
-    again.setEndpoints(Endpoint("10.0.1.1", 7000), Endpoint("10.0.1.1", 7000), Endpoint("10.0.1.1", 7001));
-    again.setMillicores(500);
-    pool.setMembers({ again });
-    CHECK(pool.choose(everywhere, false, millisecond(11)));
-}
-
-TEST_CASE("when two hosts of a data centre fall silent, no other one there is tried for a while")
-{
-    const ShardReach lacking { { { DataCentreName("a"), 30 }, { DataCentreName("b"), 36 }, { DataCentreName("c"), 36 } }, { 0, 1, 2, 3 }, { { DataCentreName("b"), 4 }, { DataCentreName("c"), 4 } } };
-    std::vector<MemberRecord> others;
-    for (int i = 0; i < 10; ++i) {
-        others.push_back(hostOf("b" + std::to_string(i), "b"));
-        others.push_back(hostOf("c" + std::to_string(i), "c"));
-    }
-    for (int self = 0; self < 50; ++self) {
-        AggregatorPool pool = poolOf(hostOf("self-" + std::to_string(self), "a"), others);
-        int lost = 0;
-        for (int time = 0; time < 4000; time += 20) {
-            auto choice = pool.choose(lacking, false, millisecond(time));
-            REQUIRE(choice);
-            SendId send(static_cast<std::uint64_t>(time + 1));
-            pool.sent(choice->name, send, std::chrono::milliseconds(100), millisecond(time));
-            // Data centre b has no power.
-            if (choice->name.value().starts_with("b")) {
-                ++lost;
-                pool.abandoned(choice->name, send, true, millisecond(time + 10));
-            } else {
-                TargetReply reply = aggregate();
-                reply.took = std::chrono::milliseconds(9);
-                pool.ended(choice->name, send, reply, millisecond(time + 10));
-            }
-        }
-        CHECK(lost <= 2);
-    }
-}
-
 TEST_CASE("a call that another host runs is passed on unchanged, with the caller's time that is left")
 {
     DelegatingFleet fleet;
@@ -467,49 +290,23 @@
     CHECK(refusal.answers[0].answer.status == 400);
 }
 
-TEST_CASE("connections to targets go to the hosts that use them, and all keep at least their part")
+TEST_CASE("when the index is cut anew, what is given away is of the shards that are in force")
 {
-    std::vector<MemberRecord> members;
-    for (int i = 0; i < 6; ++i)
-        members.push_back(hostOf("strong-" + std::to_string(i), std::string(1, static_cast<char>('a' + i % 3)), 500));
-    for (int i = 0; i < 51; ++i)
-        members.push_back(hostOf("weak-" + std::to_string(i), std::string(1, static_cast<char>('a' + i % 3))));
-    ConnectionWeights weak = connectionWeights(hostOf("self", "a"), members);
-    ConnectionWeights strong = connectionWeights(hostOf("self", "a", 500), members);
-    CHECK(strong.own / strong.all > 10 * (weak.own / weak.all));
-    CHECK(6 * 500 / weak.all + 52 * weak.own / weak.all == Approx(1));
-    // Where all are equal, or the strong ones are elsewhere, all have the same.
-    std::vector<MemberRecord> equal(7, hostOf("other", "a", 250));
-    ConnectionWeights one = connectionWeights(hostOf("self", "a", 250), equal);
-    CHECK(one.own / one.all == Approx(1.0 / 8));
-    ConnectionWeights apart = connectionWeights(hostOf("self", "a"), { hostOf("strong", "b", 500) });
-    CHECK(apart.own == 120);
-}
-
-TEST_CASE("a part that finds no connection waits for one while the other parts are at work")
-{
-    // One connection a target: a second call waits for the shard whose targets are all at work.
-    ServeFleet fleet({ fanOutRoute(2, 1) }, 1);
-    for (int shard = 0; shard < 2; ++shard) {
-        for (int replica = 1; replica <= 1 + shard; ++replica)
-            fleet.pool.put(targetOf("s" + std::to_string(shard), replica), millisecond(0));
-    }
-    CallId first = fleet.ask("fan.example", millisecond(0));
-    CallId second = fleet.ask("fan.example", millisecond(0));
-    auto reply = [&](const std::string& target, std::int64_t at) {
-        for (auto [id, send] : std::map(fleet.sends)) {
-            if (send.target.value().starts_with(target))
-                fleet.reply(id, ServeFleet::ok(send.target.value() + std::to_string(at)), millisecond(at));
-        }
-    };
-    reply("s1", 10);
-    for (int time = 20; time < 140; time += 20)
-        fleet.tick(millisecond(time));
-    CHECK(fleet.answers.empty());
-    reply("s0", 140);
-    reply("s0", 150);
-    REQUIRE(fleet.answers.contains(first));
-    REQUIRE(fleet.answers.contains(second));
-    CHECK(fleet.answers[second].status == 200);
-    CHECK(fleet.answers[second].missingParts == 0);
+    PartlyAwayFleet fleet;
+    fleet.ask("fan.example", millisecond(0));
+    CHECK(fleet.group().delegation->shards.size() == 3);
+    fleet.reply(fleet.group().send, aggregate(), millisecond(5));
+    fleet.answerRest(millisecond(5));
+    REQUIRE(fleet.sends.empty());
+    // Two shards are left, both away; a moment later, so that nothing would be looked up again for its age alone.
+    RoutePolicy route = fanOutRoute(2);
+    fleet.setRoutes({ route }, 8, 2);
+    CallId call = fleet.ask("fan.example", millisecond(10));
+    CHECK(fleet.group().delegation->shards == std::vector<std::size_t> {});
+    CHECK(fleet.group().delegation->version == ConfigurationVersion(2));
+    TargetReply both = aggregate();
+    both.missingParts = 0;
+    fleet.reply(fleet.group().send, both, millisecond(20));
+    REQUIRE(fleet.answers.contains(call));
+    CHECK(fleet.answers[call].status == 200);
 }
--- a/test/ServeFakes.h
+++ b/test/ServeFakes.h
@@ -54,6 +54,21 @@
     return route;
 }
 
+/// \returns a host that runs fan-outs for others
+inline MemberRecord hostOf(const std::string& name, const std::string& dataCentre, std::uint32_t millicores = 120)
+{
+    MemberRecord record(MemberName(name), MemberRole::Front, DataCentreName(dataCentre), Incarnation(1));
+    record.setEndpoints(Endpoint("10.0.1.1", 7000), Endpoint("10.0.1.1", 7000), Endpoint("10.0.1.1", 7001));
+    record.setMillicores(millicores);
+    return record;
+}
+
+/// \returns a record of one letter
+inline std::string recordOf(char letter)
+{
+    return std::string(recordBytes, letter);
+}
+
 /// \returns a pool of the host "self" in data centre "a" that knows no other host
 inline AggregatorPool noAggregators()
 {
@@ -176,4 +191,23 @@
     std::uint64_t lastCall = 0;
 };
 
+/// \returns the answer of an aggregating host that lacks one part
+inline TargetReply aggregate(unsigned status = 200)
+{
+    TargetReply reply = ServeFleet::ok("x, y, z", recordOf('e') + recordOf('c'));
+    reply.status = status;
+    reply.partStamps = reply.stamp;
+    reply.missingParts = 1;
+    return reply;
+}
+
+/// Lets \a fleet know \a replicas targets of each shard, each in a data centre of its own.
+inline void discover(ServeFleet& fleet, std::size_t shards, int replicas = 3)
+{
+    for (std::size_t i = 0; i < shards; ++i) {
+        for (int r = 0; r < replicas; ++r)
+            fleet.pool.put(targetOf("s" + std::to_string(i), r + 1, std::string(1, static_cast<char>('a' + r))), millisecond(0));
+    }
+}
+
 } // namespace pimentopoint
