--- a/Pimentopoint/src/Core/HttpServer.cpp
+++ b/Pimentopoint/src/Core/HttpServer.cpp
@@ -32,7 +32,7 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(endpoint.port());
         inet_pton(AF_INET, endpoint.address().c_str(), &address.sin_addr);
-        connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        static_cast<void>(connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof address));
         close(socket);
     }
 
--- a/Pimentopoint/src/Net/CallerLink.cpp
+++ b/Pimentopoint/src/Net/CallerLink.cpp
@@ -152,11 +152,11 @@
 
 bool CallerLink::readDelegation(const http::fields& message, CallerRequest& request) const
 {
-    auto version = parseNumber(headerValue(message, hostHeaders::version));
-    auto spent = parseNumber(headerValue(message, hostHeaders::spent));
+    auto version = parseNumber(headerValue(message, host_headers::version));
+    auto spent = parseNumber(headerValue(message, host_headers::spent));
     if (!version || !spent)
         return false;
-    auto shards = parseNumbers(headerValue(message, hostHeaders::shards));
+    auto shards = parseNumbers(headerValue(message, host_headers::shards));
     if (!shards)
         return false;
     request.delegation = Delegation { ConfigurationVersion(*version), Duration(static_cast<Duration::rep>(*spent)), std::move(*shards) };
@@ -173,7 +173,7 @@
     request->host = text(message[http::field::host]);
     request->patience = m_dialect.deadline.empty() ? defaultPatience : patienceOf(text(message[m_dialect.deadline]));
     request->arrivedAt = m_clock.now();
-    request->headers = endToEndHeaders(message, { m_dialect.deadline, m_dialect.targetName, hostHeaders::version, hostHeaders::spent, hostHeaders::shards });
+    request->headers = endToEndHeaders(message, { m_dialect.deadline, m_dialect.targetName, host_headers::version, host_headers::spent, host_headers::shards });
     m_requestReadAt = request->arrivedAt;
     bool complete = !m_hooks.fromHosts || readDelegation(message, *request);
     m_keepAlive = message.keep_alive();
@@ -230,7 +230,7 @@
         appendHeader(m_out, m_dialect.missingParts, std::to_string(answer.missingParts));
     }
     if (m_hooks.fromHosts)
-        appendHeader(m_out, hostHeaders::took, std::to_string((m_clock.now() - m_requestReadAt).count()));
+        appendHeader(m_out, host_headers::took, std::to_string((m_clock.now() - m_requestReadAt).count()));
     if (answer.retryAfter > Duration(0)) {
         char seconds[32];
         std::snprintf(seconds, sizeof seconds, "%.3f", std::chrono::duration<double>(answer.retryAfter).count());
--- a/Pimentopoint/src/Net/HostHeaders.h
+++ b/Pimentopoint/src/Net/HostHeaders.h
@@ -4,7 +4,7 @@
 
 #include <string_view>
 
-namespace pimentopoint::hostHeaders {
+namespace pimentopoint::host_headers {
 
 /// In a request that is run for another host: the version in force at the sender.
 inline constexpr std::string_view version = "Pimentopoint-Version";
@@ -15,4 +15,4 @@
 /// In its answer: the time from the request to the answer.
 inline constexpr std::string_view took = "Pimentopoint-Took";
 
-} // namespace pimentopoint::hostHeaders
+} // namespace pimentopoint::host_headers
--- a/Pimentopoint/src/Net/TargetLink.cpp
+++ b/Pimentopoint/src/Net/TargetLink.cpp
@@ -130,10 +130,10 @@
     appendHeader(m_out, m_dialect.deadline, std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
     appendHeader(m_out, m_dialect.targetName, m_send->target.value());
     if (m_send->delegation) {
-        appendHeader(m_out, hostHeaders::version, std::to_string(m_send->delegation->version.value()));
-        appendHeader(m_out, hostHeaders::spent, std::to_string(m_send->delegation->spent.count()));
+        appendHeader(m_out, host_headers::version, std::to_string(m_send->delegation->version.value()));
+        appendHeader(m_out, host_headers::spent, std::to_string(m_send->delegation->spent.count()));
         if (!m_send->delegation->shards.empty())
-            appendHeader(m_out, hostHeaders::shards, joinNumbers(m_send->delegation->shards));
+            appendHeader(m_out, host_headers::shards, joinNumbers(m_send->delegation->shards));
     }
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
         appendHeader(m_out, "Content-Length", std::to_string(request.body.size()));
@@ -259,7 +259,7 @@
     const auto& message = m_parser->get();
     // A host says 503 only of what it did not run.
     reply.notRun = reply.status == unavailable;
-    reply.took = Duration(static_cast<Duration::rep>(parseNumber(headerValue(message, hostHeaders::took)).value_or(0)));
+    reply.took = Duration(static_cast<Duration::rep>(parseNumber(headerValue(message, host_headers::took)).value_or(0)));
     reply.partStamps = std::string(headerValue(message, m_dialect.partStamps));
     reply.stamp = reply.partStamps;
     auto missing = parseNumber(headerValue(message, m_dialect.missingParts));
--- a/soak/Checker.cpp
+++ b/soak/Checker.cpp
@@ -17,7 +17,9 @@
 {
     std::string body;
     for (int i = 0; i < 3; ++i) {
-        std::uint64_t hash = hashOf(target + "/" + id + "/" + std::to_string(i));
+        std::string key = target;
+        key.append("/").append(id).append("/").append(std::to_string(i));
+        std::uint64_t hash = hashOf(key);
         std::string record(recordBytes, 'x');
         for (std::size_t at = 0; at < recordBytes; ++at)
             record[at] = static_cast<char>('a' + (hash >> (4 * at) & 15));
--- a/soak/Proxy.cpp
+++ b/soak/Proxy.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+    constexpr std::size_t readBytes = std::size_t(16) * 1024;
     constexpr Duration slowBy = std::chrono::milliseconds(60);
 
 } // namespace
@@ -88,7 +89,7 @@
 
     Proxy& proxy;
     std::array<tcp::socket, 2> ends; ///< The caller's, the server's.
-    std::array<std::array<char, 16 * 1024>, 2> bytes {};
+    std::array<std::array<char, readBytes>, 2> bytes {};
     bool silenced = false;
 };
 
