Never refuse as not run what another host ran in part

Cause: a fan-out of which another host had answered its shards, and whose other shards were all refused, was answered 503 "not run". Found by reading for the landing. Ruled out: requests that may run once: they are never given to other hosts. Change: parts that another host answered for count as having run. Tests: 'a call of which another host ran a part is never refused as not run' (red before: 503).

--- a/Pimentopoint/src/Serve/AggregatorPool.cpp
+++ b/Pimentopoint/src/Serve/AggregatorPool.cpp
@@ -34,6 +34,9 @@
     /// Part of the time for an answer that the ways may take; a host that is short of processor time reads its requests late.
     constexpr double mostWays = 0.25;
 
+    /// Part of its weight that a host keeps which gives its fan-outs away; it runs them itself only while no stronger host answers.
+    constexpr double spareWeight = 0.25;
+
     std::size_t mostShards(const std::map<DataCentreName, std::size_t>& shards)
     {
         std::size_t most = 0;
@@ -42,9 +45,6 @@
         return most;
     }
 
-    /// Part of its weight that a host keeps which gives its fan-outs away; it runs them itself only while no stronger host answers.
-    constexpr double spareWeight = 0.25;
-
 } // namespace
 
 ConnectionWeights connectionWeights(const MemberRecord& self, const std::vector<MemberRecord>& members)
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -176,6 +176,9 @@
             trySend(environment, index, false, now);
         }
     } else if (reply.end == TargetReply::End::Answered && success(reply.status) && reply.missingParts < m_delegated->parts.size()) {
+        // Which of them are missing is not known here; none counts as certainly not run.
+        for (std::size_t index : m_delegated->parts)
+            m_parts[index].mayHaveRun = true;
         m_doneParts += m_delegated->parts.size() - reply.missingParts;
         m_failedParts += reply.missingParts;
         m_groupReply = std::move(reply);
--- a/test/DelegationTest.cpp
+++ b/test/DelegationTest.cpp
@@ -159,12 +159,12 @@
 
 namespace {
 
-/// A fan-out over eight shards, of which the host's own data centre lacks the first three; "b1" is in one that has all.
+/// A fan-out over eight shards, or as many as are asked for, of which the host's own data centre lacks the first three; "b1" is in one that has all.
 struct PartlyAwayFleet : ServeFleet {
-    explicit PartlyAwayFleet(double minCoverage = 0.75)
-        : ServeFleet({ fanOutRoute(8, minCoverage) })
+    explicit PartlyAwayFleet(double minCoverage = 0.75, int shards = 8)
+        : ServeFleet({ fanOutRoute(static_cast<std::size_t>(shards), minCoverage) })
     {
-        for (int shard = 0; shard < 8; ++shard) {
+        for (int shard = 0; shard < shards; ++shard) {
             for (int replica = 1; replica <= 3; ++replica) {
                 const char* places[] = { "b", "c", shard < 3 ? "d" : "a" };
                 pool.put(targetOf("s" + std::to_string(shard), replica, places[replica - 1]), millisecond(0));
@@ -245,6 +245,20 @@
     }
 }
 
+TEST_CASE("a call of which another host ran a part is never refused as not run")
+{
+    // The other host has its three of six shards, four are needed, and every target here refuses.
+    PartlyAwayFleet fleet(0.65, 6);
+    CallId call = fleet.ask("fan.example", millisecond(0));
+    TargetReply all = aggregate();
+    all.missingParts = 0;
+    fleet.reply(fleet.group().send, all, millisecond(5));
+    while (!fleet.sends.empty())
+        fleet.reply(fleet.sends.begin()->first, ServeFleet::refused(), millisecond(6));
+    REQUIRE(fleet.answers.contains(call));
+    CHECK(fleet.answers[call].status == 502);
+}
+
 TEST_CASE("a call that has enough shards is answered at its objective, and the other host is told to end")
 {
     PartlyAwayFleet fleet(0.6);
