Keep connections within the descriptors, and parts waiting after another host answered

Cause: (1) callers (descriptors less 600) and other hosts (1,024) together might open more than the descriptors allow, 5,124 of 4,100; (2) a part that waits for a connection failed at a quarter of the objective once another host had answered for its own parts and nothing was sent from here; (3) a list of shards ending in a comma was read. Found by reading the whole change. Change: HostSettings divides the descriptors, an eighth of what is not its own for hosts; a part that may have run counts as sent; lists are strict. Tests: 'settings of an edge ...', 'parts that wait ... after another host has answered', 'lists of numbers ...', all three red before.

--- a/Pimentopoint/src/Net/HttpText.cpp
+++ b/Pimentopoint/src/Net/HttpText.cpp
@@ -73,13 +73,13 @@
 std::optional<std::vector<std::size_t>> parseNumbers(std::string_view value)
 {
     std::vector<std::size_t> numbers;
-    while (!value.empty()) {
-        std::size_t end = value.find(',');
-        auto number = parseNumber(value.substr(0, end));
+    for (std::size_t at = 0; !value.empty() && at <= value.size();) {
+        std::size_t end = std::min(value.find(',', at), value.size());
+        auto number = parseNumber(value.substr(at, end - at));
         if (!number)
             return std::nullopt;
         numbers.push_back(*number);
-        value = end == std::string_view::npos ? std::string_view() : value.substr(end + 1);
+        at = end + 1;
     }
     return numbers;
 }
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -261,7 +261,7 @@
 
 Instant CallRun::waitEnd() const
 {
-    bool anySent = m_delegated || std::any_of(m_parts.begin(), m_parts.end(), [](const CallPart& part) { return part.arrivals > 0; });
+    bool anySent = m_delegated || std::any_of(m_parts.begin(), m_parts.end(), [](const CallPart& part) { return part.arrivals > 0 || part.mayHaveRun; });
     if (anySent)
         return m_deadline;
     return m_startedAt + scaled(m_route->objective, mostWaiting);
--- a/Pimentopoint/src/Serve/HostSettings.cpp
+++ b/Pimentopoint/src/Serve/HostSettings.cpp
@@ -4,8 +4,30 @@
 #include "../Operator/InvalidDocument.h"
 #include "../Operator/StructureGuard.h"
 
+#include <algorithm>
+
 namespace pimentopoint {
 
+namespace {
+
+    /// Sockets and files beside those of callers and hosts: targets, platform, members, log; half of the descriptors where there are few.
+    constexpr std::size_t ownDescriptors = 600;
+    /// One of so many of the rest is for other hosts: each keeps a few connections, and callers many more.
+    constexpr std::size_t hostPart = 8;
+    std::size_t forOthers(std::size_t descriptors) { return descriptors - std::min(descriptors / 2, ownDescriptors); }
+
+} // namespace
+
+std::size_t HostSettings::callerConnections() const
+{
+    return forOthers(descriptors) - hostConnections();
+}
+
+std::size_t HostSettings::hostConnections() const
+{
+    return forOthers(descriptors) / hostPart;
+}
+
 HostSettings HostSettings::read(const std::string& text, const std::string& source)
 {
     constexpr std::uint64_t leastDescriptors = 64;
--- a/Pimentopoint/src/Serve/HostSettings.h
+++ b/Pimentopoint/src/Serve/HostSettings.h
@@ -30,6 +30,10 @@
     Duration repeatWindow = std::chrono::seconds(10); ///< In which repeats are counted.
     int logLevel = 0; ///< Least severity that is logged: 0 info, 1 warning, 2 error.
 
+    /// \returns how many connections callers may have
+    std::size_t callerConnections() const;
+    /// \returns how many connections other hosts may have whose fan-outs are run here
+    std::size_t hostConnections() const;
     /// \throws InvalidDocument with every problem in \a text
     static HostSettings read(const std::string& text, const std::string& source);
 };
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -24,8 +24,6 @@
     /// Before the end of the time to stop: left for writing last answers.
     constexpr Duration lastAnswers = std::chrono::milliseconds(700);
     constexpr Duration exitMargin = std::chrono::milliseconds(350);
-    /// Sockets and files beside callers' connections: targets, platform, members, log.
-    constexpr std::size_t ownDescriptors = 600;
     /// Part of the ratio of repeats that each request earns: late sends are a twelfth of all on a calm day. The rest may be saved up.
     constexpr double ratioUse = 0.65;
     /// Connections opened ahead of need in one tick; each holds a slot of its target for a moment and costs some tenths of a millisecond of core.
@@ -34,8 +32,6 @@
     constexpr double delegatedUse = 0.5;
     /// Processor time of a sub-query, as the users' bench charges it (48 us) with some room.
     constexpr Duration sendCost = std::chrono::microseconds(60);
-    /// Connections of other hosts: a large data centre, several at a time each.
-    constexpr std::size_t mostHostCallers = 1024;
     constexpr unsigned readinessThreads = 2;
     constexpr std::size_t readinessBodyBytes = 1024;
     constexpr unsigned unavailable = 503;
@@ -92,7 +88,7 @@
               perform(actions);
           },
           [this](const TargetName& target, std::size_t open) { m_pool.setConnections(target, open, m_clock.now()); })
-    , m_callers(m_context, m_clock, platform::headerDialect(), m_settings.callers, m_settings.descriptors - std::min(m_settings.descriptors / 2, ownDescriptors),
+    , m_callers(m_context, m_clock, platform::headerDialect(), m_settings.callers, m_settings.callerConnections(),
           callerHooks(false))
     , m_membership(selfRecord(m_settings), m_settings.seeds, MembershipTiming(), seedOf(m_settings, "members"))
     , m_members(m_context, m_clock, m_settings.members, m_membership, [this] { countHosts(); })
@@ -105,7 +101,7 @@
         armTimer();
     });
     if (m_settings.aggregation)
-        m_hostCallers.emplace(m_context, m_clock, platform::headerDialect(), *m_settings.aggregation, mostHostCallers, callerHooks(true));
+        m_hostCallers.emplace(m_context, m_clock, platform::headerDialect(), *m_settings.aggregation, m_settings.hostConnections(), callerHooks(true));
     m_readiness = std::make_unique<HttpServer>(m_settings.readiness, readinessThreads, readinessBodyBytes, [this](const HttpRequest& request) -> HttpResponse {
         if (request.path == platform::headerDialect().readinessPath)
             return m_ready ? HttpResponse { 200, "{\"state\":\"ready\"}" } : HttpResponse { unavailable, "{\"state\":\"not-ready\"}" };
--- a/test/CallerLinkTest.cpp
+++ b/test/CallerLinkTest.cpp
@@ -177,6 +177,14 @@
 TEST_CASE("settings of an edge are checked as a whole")
 {
     const std::string good = "name: n\ndataCentre: a\nlisten: { callers: 127.0.0.1:1, readiness: 127.0.0.1:2, members: 127.0.0.1:3 }\nmembers: []\nplatform: 127.0.0.1:4\n";
+    for (std::size_t descriptors : { 64U, 1024U, 4100U, 8192U }) {
+        HostSettings each = HostSettings::read(good + "descriptors: " + std::to_string(descriptors) + "\n", "test");
+        INFO(descriptors);
+        // Something is left for targets, the platform, members and the log.
+        CHECK(each.callerConnections() > 0);
+        CHECK(each.hostConnections() > 0);
+        CHECK(each.callerConnections() + each.hostConnections() + std::min<std::size_t>(600, descriptors / 2) <= descriptors);
+    }
     HostSettings settings = HostSettings::read(good + "times: { stop: 8s, news: 5000ms, leaving: 3000ms }\nrepeats: { ratio: 0.2, slack: 56, window: 10s }\n", "test");
     CHECK(settings.stopTime == std::chrono::seconds(8));
     CHECK(settings.repeatSlack == 56);
--- a/test/DelegationTest.cpp
+++ b/test/DelegationTest.cpp
@@ -259,6 +259,24 @@
     CHECK(fleet.answers[call].status == 502);
 }
 
+TEST_CASE("parts that wait for a connection wait on after another host has answered for its own")
+{
+    PartlyAwayFleet fleet(1);
+    fleet.setRoutes({ fanOutRoute(8, 1) }, 1, 2);
+    // Three calls take the only connection to each target of the five shards at home.
+    for (int i = 0; i < 3; ++i)
+        fleet.ask("fan.example", millisecond(0));
+    CallId call = fleet.ask("fan.example", millisecond(0));
+    SendId own = fleet.sends.rbegin()->first;
+    REQUIRE(fleet.sends.at(own).delegation);
+    TargetReply all = aggregate();
+    all.missingParts = 0;
+    fleet.reply(own, all, millisecond(5));
+    // A quarter of the objective is over.
+    fleet.tick(millisecond(60));
+    CHECK_FALSE(fleet.answers.contains(call));
+}
+
 TEST_CASE("a call that has enough shards is answered at its objective, and the other host is told to end")
 {
     PartlyAwayFleet fleet(0.6);
--- a/test/HostLinkTest.cpp
+++ b/test/HostLinkTest.cpp
@@ -160,6 +160,6 @@
     CHECK(parseNumbers("3") == std::vector<std::size_t> { 3 });
     CHECK(parseNumbers("0,12,7") == std::vector<std::size_t> { 0, 12, 7 });
     CHECK(joinNumbers({ 0, 12, 7 }) == "0,12,7");
-    for (const char* wrong : { ",", "1,,2", "1 ,2", "-1", "x", "99999999999999999999999" })
+    for (const char* wrong : { ",", "1,", ",1", "1,,2", "1 ,2", "-1", "x", "99999999999999999999999" })
         CHECK_FALSE(parseNumbers(wrong));
 }
