Read ready sockets in one place

Cause: CallerLink and TargetLink read what has come with the same lines, each with a buffer of 16 KB of its own. Ruled out: one read loop for both: what follows a read differs (lingering and leaving callers; answers that end with their connection). Change: readAvailable. Tests: no behaviour changes; CallerLinkTest, EdgeTest and HostLinkTest pass with the whole suite (46,476 assertions).

--- a/Pimentopoint/src/Net/CallerLink.cpp
+++ b/Pimentopoint/src/Net/CallerLink.cpp
@@ -2,9 +2,9 @@
 
 #include "HostHeaders.h"
 #include "HttpText.h"
+#include "ReadAvailable.h"
 #include "SocketOptions.h"
 
-#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
@@ -17,7 +17,6 @@
 
 namespace {
 
-    constexpr std::size_t readBytes = std::size_t(16) * 1024;
     /// Bytes read ahead of the request at work; beyond them the caller waits.
     constexpr std::size_t mostReadAhead = std::size_t(64) * 1024;
     /// A caller that takes no byte of its answer for this long is gone; several round trips and repeats of a lost packet.
@@ -81,9 +80,8 @@
 
 void CallerLink::received(const boost::system::error_code& waitError)
 {
-    static std::array<char, readBytes> bytes;
     boost::system::error_code error = waitError;
-    std::size_t size = error ? 0 : m_socket.read_some(asio::buffer(bytes), error);
+    std::string_view bytes = readAvailable(m_socket, error);
     if (error == asio::error::would_block) {
         read();
         return;
@@ -94,7 +92,7 @@
     }
     m_activeAt = m_clock.now();
     if (!m_lingering) {
-        m_in.append(bytes.data(), size);
+        m_in.append(bytes);
         advance();
     }
     read();
--- a/Pimentopoint/src/Net/TargetLink.cpp
+++ b/Pimentopoint/src/Net/TargetLink.cpp
@@ -2,9 +2,9 @@
 
 #include "HostHeaders.h"
 #include "HttpText.h"
+#include "ReadAvailable.h"
 #include "SocketOptions.h"
 
-#include <array>
 #include <boost/asio/write.hpp>
 #include <charconv>
 
@@ -26,7 +26,6 @@
     /// Answers are records or documents of some kilobytes; more than this is not an answer.
     constexpr std::uint64_t mostBodyBytes = std::uint64_t(8) * 1024 * 1024;
     constexpr std::uint32_t mostHeaderBytes = std::uint32_t(32) * 1024;
-    constexpr std::size_t readBytes = std::size_t(16) * 1024;
     constexpr unsigned misdirected = 421;
 
     bool reported(const http::fields& fields, const std::string& name)
@@ -174,9 +173,8 @@
 
 void TargetLink::received(const boost::system::error_code& waitError)
 {
-    static std::array<char, readBytes> bytes;
     boost::system::error_code error = waitError;
-    std::size_t size = error ? 0 : m_socket.read_some(asio::buffer(bytes), error);
+    std::string_view bytes = readAvailable(m_socket, error);
     if (error == asio::error::would_block) {
         read();
         return;
@@ -194,7 +192,7 @@
         fail(TargetReply::End::Lost, "the connection was reset");
         return;
     }
-    parse({ bytes.data(), size }, false);
+    parse(bytes, false);
     if (!m_closed)
         read();
 }
