End the waking of CivetWeb's accepting thread at once

Cause: the thread that wakes it while a server stops slept between two connections, so that a stop waited for the rest of that sleep. Ruled out: no thread at all: mg_stop blocks until the accepting thread ends, and only a connection ends that thread's wait of two seconds. Change: it waits for its stop request with a time limit.

--- a/Pimentopoint/src/Core/HttpServer.cpp
+++ b/Pimentopoint/src/Core/HttpServer.cpp
@@ -7,7 +7,9 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <civetweb.h>
+#include <condition_variable>
 #include <cstring>
+#include <mutex>
 #include <stop_token>
 #include <sys/socket.h>
 #include <thread>
@@ -110,10 +112,11 @@
         return;
     // CivetWeb's thread that accepts looks whether it is to end only every two seconds, or when a connection comes.
     std::jthread waker([this](const std::stop_token& token) {
-        while (!token.stop_requested()) {
-            std::this_thread::sleep_for(wakeInterval);
+        std::mutex mutex;
+        std::condition_variable_any ended;
+        std::unique_lock lock(mutex);
+        while (!ended.wait_for(lock, token, wakeInterval, [&token] { return token.stop_requested(); }))
             connectOnce(m_endpoint);
-        }
     });
     mg_stop(m_context);
     m_context = nullptr;
