--- a/Pimentopoint/src/Core/util/Constants.h
+++ b/Pimentopoint/src/Core/util/Constants.h
@@ -25,7 +25,7 @@
 /// Most nodes accepted in a document.
 constexpr std::size_t maxDocumentNodes = 400000;
 /// Version of the protocol between processes; peers of another version are refused.
-constexpr std::uint16_t protocolVersion = 1;
+constexpr std::uint16_t protocolVersion = 2;
 /// Longest deadline that a caller may ask for.
 constexpr std::chrono::microseconds maxDeadline = std::chrono::seconds(10);
 /// Step between two events of one loop that is taken for a pause of the process.
