Drop state that can be derived, and decay sums in one place

Cause: CallPart::delegated repeated the group's list of parts; AggregatorPool::Host::strong was kept though only the ranking reads it; LoadGauge and RepeatBudgets each had a sum that decays; asking for a repeat of an unknown service made an empty budget for it. Ruled out: TargetPool's fading too: it fades two values with different time constants towards different rest values. Change: both fields are gone; DecayingSum serves both; spend() only looks up. Tests: no behaviour changes but for the empty budget; suite passes, the bound of repeats over 1, 8 and 60 hosts among it.

--- a/Pimentopoint/src/Serve/AggregatorPool.cpp
+++ b/Pimentopoint/src/Serve/AggregatorPool.cpp
@@ -93,11 +93,9 @@
     for (const auto& [name, host] : m_hosts)
         most = std::max(most, host.record.millicores());
     m_ranked.clear();
-    for (auto& [name, host] : m_hosts) {
-        host.strong = host.record.millicores() >= strongPart * most;
+    for (const auto& [name, host] : m_hosts)
         m_ranked.push_back(&host);
-    }
-    auto order = [this](const Host* host) { return std::tuple(!host->strong, hashOf(m_self.name().value() + "/" + host->record.name().value()), host->record.name()); };
+    auto order = [this, most](const Host* host) { return std::tuple(host->record.millicores() < strongPart * most, hashOf(m_self.name().value() + "/" + host->record.name().value()), host->record.name()); };
     std::sort(m_ranked.begin(), m_ranked.end(), [&](const Host* a, const Host* b) { return order(a) < order(b); });
 }
 
--- a/Pimentopoint/src/Serve/AggregatorPool.h
+++ b/Pimentopoint/src/Serve/AggregatorPool.h
@@ -69,7 +69,6 @@
     };
     struct Host {
         MemberRecord record;
-        bool strong = false; ///< Whether few hosts have more processor time.
         std::vector<Outstanding> outstanding;
         std::optional<Duration> ways; ///< Smoothed; nothing before the first answer.
         unsigned failures = 0; ///< In a row.
--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -77,7 +77,7 @@
         return "the routes are not known yet";
     if (delegation.version != m_routing->version())
         return "another version is in force";
-    if (m_load.perSecond(now) > m_limits.delegatedSends)
+    if (m_load.value(now) > m_limits.delegatedSends)
         return "too little processor time is left";
     return nullptr;
 }
--- a/Pimentopoint/src/Serve/CallEngine.h
+++ b/Pimentopoint/src/Serve/CallEngine.h
@@ -3,7 +3,7 @@
 #include "../Core/Metrics.h"
 #include "AggregatorPool.h"
 #include "CallRun.h"
-#include "LoadGauge.h"
+#include "DecayingSum.h"
 #include "RepeatBudgets.h"
 #include "RouteMemory.h"
 
@@ -143,7 +143,7 @@
     std::unordered_map<SendId, SendState> m_sends;
     std::map<RouteName, std::unique_ptr<RouteMemory>> m_routes;
     RepeatBudgets m_repeats;
-    LoadGauge m_load; ///< Sends to targets.
+    DecayingSum m_load { std::chrono::seconds(1) }; ///< Sends to targets, of about the last second.
     std::map<ServiceName, std::deque<std::pair<CallId, std::size_t>>> m_waiting;
     struct Timer {
         Instant at;
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -58,12 +58,9 @@
     bool shardsGiven = m_request->delegation && !m_request->delegation->shards.empty();
     if (m_route->fansOut() && !shardsGiven)
         m_delegated = environment.delegate(now);
-    if (m_delegated) {
-        for (std::size_t part : m_delegated->parts)
-            m_parts[part].delegated = true;
-    }
-    for (std::size_t i = 0; i < m_parts.size() && !m_finished; ++i) {
-        if (!m_parts[i].delegated)
+    auto runsHere = [this](std::size_t part) { return !m_delegated || std::find(m_delegated->parts.begin(), m_delegated->parts.end(), part) == m_delegated->parts.end(); };
+    for (std::size_t i = 0; i < m_parts.size(); ++i) {
+        if (runsHere(i))
             trySend(environment, i, false, now);
     }
     settle(environment, now);
@@ -171,10 +168,8 @@
     m_wakeChanged = true;
     if (reply.end == TargetReply::End::NotSent || reply.notRun) {
         auto group = *std::exchange(m_delegated, std::nullopt);
-        for (std::size_t index : group.parts) {
-            m_parts[index].delegated = false;
+        for (std::size_t index : group.parts)
             trySend(environment, index, false, now);
-        }
     } else if (reply.end == TargetReply::End::Answered && success(reply.status) && reply.missingParts < m_delegated->parts.size()) {
         // Which of them are missing is not known here; none counts as certainly not run.
         for (std::size_t index : m_delegated->parts)
--- a/Pimentopoint/src/Serve/CallRun.h
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -46,7 +46,6 @@
     std::vector<SendId> outstanding;
     unsigned arrivals = 0; ///< Targets that were sent to, but for those that certainly got nothing.
     bool waiting = false; ///< For a connection.
-    bool delegated = false; ///< Another host answers for it, or did.
     bool done = false;
     bool failed = false;
     bool mayHaveRun = false;
--- a/Pimentopoint/src/Serve/RepeatBudgets.cpp
+++ b/Pimentopoint/src/Serve/RepeatBudgets.cpp
@@ -1,7 +1,6 @@
 #include "RepeatBudgets.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace pimentopoint {
 
@@ -23,17 +22,21 @@
 
 void RepeatBudgets::earn(const ServiceName& service, bool shard, Instant now)
 {
-    auto [at, fresh] = m_budgets.try_emplace(service);
+    auto [at, fresh] = m_budgets.try_emplace(service, m_limits.window);
     Budget& budget = at->second;
     double slack = m_limits.slack * (shard ? m_fanOutShare : m_singleShare);
-    double passed = std::chrono::duration<double>(now - budget.earnedAt) / std::chrono::duration<double>(m_limits.window);
-    budget.recentCalls = budget.recentCalls * std::exp(-passed) + 1;
-    budget.earnedAt = now;
+    budget.recentCalls.add(1, now);
     double spare = m_limits.ratio.value() - m_limits.share.value();
-    budget.credit.setMaxCredit(spare * budget.recentCalls + savedSlack * slack);
+    budget.credit.setMaxCredit(spare * budget.recentCalls.value(now) + savedSlack * slack);
     if (fresh)
         budget.credit.earn(1, Fraction(std::min(firstCredit, firstSlack * slack)));
     budget.credit.earn(1, m_limits.share);
 }
 
+bool RepeatBudgets::spend(const ServiceName& service)
+{
+    auto found = m_budgets.find(service);
+    return found != m_budgets.end() && found->second.credit.spend();
+}
+
 } // namespace pimentopoint
--- a/Pimentopoint/src/Serve/RepeatBudgets.h
+++ b/Pimentopoint/src/Serve/RepeatBudgets.h
@@ -4,6 +4,7 @@
 #include "../Core/Clock.h"
 #include "../Core/Fraction.h"
 #include "../Core/Ids.h"
+#include "DecayingSum.h"
 
 #include <map>
 
@@ -34,13 +35,17 @@
     /// Notes the first send of a request to \a service.
     void earn(const ServiceName& service, bool shard, Instant now);
     /// \returns whether one more repeat is allowed, and if so charges it
-    bool spend(const ServiceName& service) { return m_budgets[service].credit.spend(); }
+    bool spend(const ServiceName& service);
 
 private:
     struct Budget {
+        explicit Budget(Duration window)
+            : recentCalls(window)
+        {
+        }
+
         ExtraSendBudget credit;
-        Instant earnedAt {};
-        double recentCalls = 0; ///< In about a window.
+        DecayingSum recentCalls; ///< In about a window.
     };
 
     RepeatLimits m_limits;
