Read settings and report what a daemon threw in one place

Cause: Edge.cpp repeated eleven lines of Daemon.cpp: the file, its errors, the exit codes. Ruled out: runDaemon for the edge as well: its settings type, its log and the default path differ. Change: readSettings and runGuarded.

--- a/daemons/Daemon.cpp
+++ b/daemons/Daemon.cpp
@@ -86,29 +86,22 @@
     }
 }
 
-int runDaemon(int argc, char** argv, const std::string& usage, const std::string& program, const std::function<void(const Settings&)>& run)
+std::optional<std::string> readSettings(const std::string& path)
 {
-    auto parsed = parseArguments(argc, argv, usage, program);
-    if (const int* code = std::get_if<int>(&parsed))
-        return *code;
-    auto& arguments = std::get<0>(parsed);
-    std::string path = arguments["--settings"].asString();
     std::ifstream file(path);
     if (!file) {
-        std::cerr << path << ": cannot be read\n";
-        return exitInvalid;
+        std::cerr << (path.empty() ? "no settings file is named" : path + ": cannot be read") << "\n";
+        return std::nullopt;
     }
     std::stringstream content;
     content << file.rdbuf();
+    return content.str();
+}
+
+int runGuarded(const std::string& program, const std::function<void()>& run)
+{
     try {
-        Settings settings = Settings::read(content.str(), path);
-        if (arguments["--check"].asBool()) {
-            std::cout << path << ": valid\n";
-            return exitOk;
-        }
-        Log::start(program, settings.name(), settings.dataCentre(), static_cast<Severity>(settings.logLevel()));
-        curl_global_init(CURL_GLOBAL_DEFAULT);
-        run(settings);
+        run();
         return exitOk;
     } catch (const InvalidDocument& invalid) {
         std::cerr << invalid.what() << "\n";
@@ -120,4 +113,26 @@
     }
 }
 
+int runDaemon(int argc, char** argv, const std::string& usage, const std::string& program, const std::function<void(const Settings&)>& run)
+{
+    auto parsed = parseArguments(argc, argv, usage, program);
+    if (const int* code = std::get_if<int>(&parsed))
+        return *code;
+    auto& arguments = std::get<0>(parsed);
+    std::string path = arguments["--settings"].asString();
+    auto text = readSettings(path);
+    if (!text)
+        return exitInvalid;
+    return runGuarded(program, [&] {
+        Settings settings = Settings::read(*text, path);
+        if (arguments["--check"].asBool()) {
+            std::cout << path << ": valid\n";
+            return;
+        }
+        Log::start(program, settings.name(), settings.dataCentre(), static_cast<Severity>(settings.logLevel()));
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+        run(settings);
+    });
+}
+
 } // namespace pimentopoint
--- a/daemons/Daemon.h
+++ b/daemons/Daemon.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -47,6 +48,13 @@
 /// \returns the arguments, or the code to exit with
 std::variant<std::map<std::string, docopt::value>, int> parseArguments(int argc, char** argv, const std::string& usage, const std::string& program);
 
+/// \returns the text of the file at \a path, or nothing and says so
+std::optional<std::string> readSettings(const std::string& path);
+
+/// \brief Runs \a run and says what it threw.
+/// \returns the code to exit with
+int runGuarded(const std::string& program, const std::function<void()>& run);
+
 /// \brief Runs a daemon: reads arguments and settings, starts the log, calls \a run.
 /// \returns the exit code
 int runDaemon(int argc, char** argv, const std::string& usage, const std::string& program, const std::function<void(const Settings&)>& run);
--- a/daemons/Edge.cpp
+++ b/daemons/Edge.cpp
@@ -3,11 +3,8 @@
 #include "Daemon.h"
 #include "EdgeHost.h"
 
-#include <Pimentopoint/Operator>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 using namespace pimentopoint;
 
@@ -33,30 +30,18 @@
 
 int runEdge(const std::string& path, bool check)
 {
-    std::ifstream file(path);
-    if (!file) {
-        std::cerr << (path.empty() ? "no settings file is named" : path + ": cannot be read") << "\n";
+    auto text = readSettings(path);
+    if (!text)
         return exitInvalid;
-    }
-    std::stringstream content;
-    content << file.rdbuf();
-    try {
-        HostSettings settings = HostSettings::read(content.str(), path);
+    return runGuarded("pimentopoint-edge", [&] {
+        HostSettings settings = HostSettings::read(*text, path);
         if (check) {
             std::cout << path << ": valid\n";
-            return exitOk;
+            return;
         }
         Log::startNonBlocking("pimentopoint-edge", settings.name, settings.dataCentre, static_cast<Severity>(settings.logLevel));
         EdgeHost(std::move(settings), path).run();
-        return exitOk;
-    } catch (const InvalidDocument& invalid) {
-        std::cerr << invalid.what() << "\n";
-        return exitInvalid;
-    } catch (const std::exception& failure) {
-        Log::event(Severity::Error, "start-failed", { { "cause", failure.what() } });
-        std::cerr << "pimentopoint-edge: " << failure.what() << "\n";
-        return exitFailed;
-    }
+    });
 }
 
 } // namespace
