One fixture for engines that know no routes; no static state in the soak

Cause: three tests set up the same engine by hand; the soak's scenarios shared a static address. Ruled out: ServeFleet for these tests: it opens its engine at once. Change: StartingHost; Scenario::m_seedHost. Tests: the same checks; suite passes.

--- a/soak/Scenario.cpp
+++ b/soak/Scenario.cpp
@@ -135,11 +135,10 @@
     host->store = std::make_unique<Proxy>(m_context, storeProxy, m_storeEndpoint);
     Endpoint callers = test::freeEndpoint();
     Endpoint members = test::freeEndpoint();
-    static Endpoint seed;
     if (m_hosts.empty())
-        seed = members;
+        m_seedHost = members;
     host->settings = "name: " + name + "\ndataCentre: " + dataCentre + "\nlisten:\n  callers: " + callers.text() + "\n  readiness: " + test::freeEndpoint().text() + "\n  members: " + members.text()
-        + "\n  aggregation: " + test::freeEndpoint().text() + "\nprocessor: { cores: " + std::to_string(cores) + " }\nmembers: [\"" + seed.text() + "\"]\nplatform: " + storeProxy.text()
+        + "\n  aggregation: " + test::freeEndpoint().text() + "\nprocessor: { cores: " + std::to_string(cores) + " }\nmembers: [\"" + m_seedHost.text() + "\"]\nplatform: " + storeProxy.text()
         + "\ntimes: { stop: 3s, news: 2s, leaving: 2s }\nrepeats: { ratio: 0.2, slack: 56, window: 10s }\n";
     for (std::size_t i = 0; i < callersPerHost; ++i)
         host->callers.push_back(std::make_shared<Caller>(m_context, callers));
--- a/soak/Scenario.h
+++ b/soak/Scenario.h
@@ -68,6 +68,7 @@
     Checker m_checker;
     Endpoint m_storeEndpoint;
     StandinStore m_store;
+    Endpoint m_seedHost; ///< Whom the hosts ask first.
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::vector<std::unique_ptr<Target>> m_targets;
     std::uint64_t m_version = 0;
--- a/test/StartStopTest.cpp
+++ b/test/StartStopTest.cpp
@@ -4,13 +4,23 @@
 
 using namespace pimentopoint;
 
-TEST_CASE("a call that waits while a process starts is refused well before its caller's deadline")
-{
+namespace {
+
+/// An engine that knows no routes yet.
+struct StartingHost {
     Metrics metrics;
-    TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
-    std::vector<std::string> reasons;
+    TargetPool pool { DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {} };
     AggregatorPool aggregators = noAggregators();
-    CallEngine engine(pool, aggregators, metrics, CallLimits(), [&](const CallRecord& record) { reasons.emplace_back(record.reason); });
+    std::vector<std::string> reasons;
+    CallEngine engine { pool, aggregators, metrics, CallLimits(), [this](const CallRecord& record) { reasons.emplace_back(record.reason); } };
+};
+
+} // namespace
+
+TEST_CASE("a call that waits while a process starts is refused well before its caller's deadline")
+{
+    StartingHost host;
+    CallEngine& engine = host.engine;
     auto request = [](int patience) {
         auto made = std::make_shared<CallerRequest>();
         made->host = "single.example";
@@ -29,10 +39,10 @@
     CHECK(actions.answers[0].call == CallId(2));
     // Whoever leaves meanwhile leaves a line.
     engine.callerLeft(CallId(3), millisecond(60), actions);
-    CHECK(reasons.size() == 2);
+    CHECK(host.reasons.size() == 2);
     engine.expireAll(millisecond(70), actions);
     REQUIRE(actions.answers.size() == 2);
-    CHECK(reasons.back() == "the process stops");
+    CHECK(host.reasons.back() == "the process stops");
 }
 
 TEST_CASE("a process that stops says so for the calls it gives up, and answers those it can")
@@ -54,10 +64,8 @@
 
 TEST_CASE("without routes a host refuses as not run; an unknown route is not found")
 {
-    Metrics metrics;
-    TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
-    AggregatorPool aggregators = noAggregators();
-    CallEngine engine(pool, aggregators, metrics, CallLimits(), [](const CallRecord&) {});
+    StartingHost host;
+    CallEngine& engine = host.engine;
     CallActions actions;
     auto request = std::make_shared<CallerRequest>();
     request->target = "/";
@@ -74,10 +82,8 @@
 
 TEST_CASE("a call that comes while a process starts is served once the routes are known")
 {
-    Metrics metrics;
-    TargetPool pool(DataCentreName("a"), TargetPoolTiming(), 1, [](const TargetName&, std::string_view, std::string_view) {});
-    AggregatorPool aggregators = noAggregators();
-    CallEngine engine(pool, aggregators, metrics, CallLimits(), [](const CallRecord&) {});
+    StartingHost host;
+    CallEngine& engine = host.engine;
     CallActions actions;
     auto request = std::make_shared<CallerRequest>();
     request->host = "single.example";
@@ -89,7 +95,7 @@
     RoutingTable::Parts parts;
     parts.routes.push_back(singleRoute("one"));
     engine.setRouting(std::make_shared<const RoutingTable>(std::move(parts)));
-    pool.put(targetOf("one", 1), millisecond(40));
+    host.pool.put(targetOf("one", 1), millisecond(40));
     engine.open(millisecond(40), actions);
     CHECK(actions.answers.empty());
     CHECK(actions.sends.size() == 1);
