Tell connected peers over TCP that a process leaves

A front that has not learnt of the leave goes on sending to the gateway until it exits; the sub-requests in flight then end with "connection-lost", and the credit for extra attempts does not cover all of them. A leave spread by datagrams alone: one notice to each member that the gateway knew, then gossip, which takes about as long as the second for which the gateway waits. A front that the gateway did not know yet, or that lost the notice, could learn too late. In the front, two threads could also announce two lists of members in the wrong order, which kept the older list.

The test now prints the replies that were not whole answers.

Change: a process that leaves sends its own record as leaving on every accepted connection, and first on each one accepted later. Lists of members are announced under one lock. PeerLinks::stop and PeerServer::stop, which nobody called, are gone; the gateway's last wait has a name and a reason.

--- a/Pimentopoint/src/Peer/ControlPlane.cpp
+++ b/Pimentopoint/src/Peer/ControlPlane.cpp
@@ -251,8 +251,11 @@
         }
         updateGate();
     }
-    if (!actions.changedMembers.empty())
+    if (!actions.changedMembers.empty()) {
+        // Of two threads that announce changes, the later one announces the later list.
+        std::lock_guard announce(m_announceMutex);
         m_hooks.membersChanged(members());
+    }
     for (const MemberRecord& record : actions.changedMembers)
         Log::event(Severity::Info, "member-changed", { { "member", record.name() }, { "state", stateText(record.state()) }, { "incarnation", record.incarnation() } });
     if (actions.documentConflict && m_clock.now() >= m_nextConflictLog) {
@@ -324,11 +327,15 @@
 void ControlPlane::leave()
 {
     MembershipActions actions;
+    MemberRecord self;
     {
         std::lock_guard lock(m_mutex);
         actions = m_membership.leave(m_clock.now());
+        self = m_membership.self();
     }
     perform(std::move(actions));
+    // Peers with an open connection may send at any moment, and a datagram may be lost or reach them late by way of other members.
+    m_server.announce(encodeFrame(MembersReply { { self } }));
 }
 
 std::vector<MemberRecord> ControlPlane::members() const
--- a/Pimentopoint/src/Peer/ControlPlane.h
+++ b/Pimentopoint/src/Peer/ControlPlane.h
@@ -103,7 +103,7 @@
     bool m_confirmOnAdoption = false; ///< A member replied with newer versions; the gate opens when they are adopted.
     Instant m_nextDocumentRequest {};
     Instant m_nextConflictLog {};
-    std::mutex m_announceMutex;
+    std::mutex m_announceMutex; ///< Held while a hook is called with changed documents or members.
     std::atomic<bool> m_stopped { false };
     std::vector<std::thread> m_threads;
 };
--- a/Pimentopoint/src/Peer/PeerLinks.cpp
+++ b/Pimentopoint/src/Peer/PeerLinks.cpp
@@ -71,16 +71,4 @@
         connection->checkHeartbeat(now);
 }
 
-void PeerLinks::stop()
-{
-    m_timer.cancel();
-    std::map<Endpoint, PeerConnection::Pointer> connections;
-    {
-        std::lock_guard lock(m_mutex);
-        connections.swap(m_connections);
-    }
-    for (const auto& [endpoint, connection] : connections)
-        connection->close();
-}
-
 } // namespace pimentopoint
--- a/Pimentopoint/src/Peer/PeerLinks.h
+++ b/Pimentopoint/src/Peer/PeerLinks.h
@@ -26,7 +26,6 @@
     ConnectionId connection(const Endpoint& endpoint) { return open(endpoint)->id(); }
     /// Starts the periodic check for unresponsive connections.
     void start();
-    void stop();
 
 private:
     PeerConnection::Pointer open(const Endpoint& endpoint);
--- a/Pimentopoint/src/Peer/PeerServer.cpp
+++ b/Pimentopoint/src/Peer/PeerServer.cpp
@@ -19,17 +19,29 @@
         if (error == boost::asio::error::operation_aborted || !m_acceptor.is_open())
             return;
         if (!error)
-            connection->startAccepted();
+            handleAccepted(connection);
         start();
     });
 }
 
-void PeerServer::stop()
+void PeerServer::handleAccepted(const PeerConnection::Pointer& connection)
 {
-    boost::asio::post(m_acceptor.get_executor(), [this] {
-        boost::system::error_code ignored;
-        m_acceptor.close(ignored);
-    });
+    connection->startAccepted();
+    std::lock_guard lock(m_mutex);
+    std::erase_if(m_connections, [](const std::weak_ptr<PeerConnection>& each) { return each.expired(); });
+    m_connections.push_back(connection);
+    if (!m_announcement.empty())
+        connection->send(m_announcement);
+}
+
+void PeerServer::announce(const std::string& frame)
+{
+    std::lock_guard lock(m_mutex);
+    m_announcement = frame;
+    for (const std::weak_ptr<PeerConnection>& each : m_connections) {
+        if (PeerConnection::Pointer connection = each.lock())
+            connection->send(frame);
+    }
 }
 
 } // namespace pimentopoint
--- a/daemons/Gateway.cpp
+++ b/daemons/Gateway.cpp
@@ -32,6 +32,8 @@
 
 /// Time for the members to learn of the shutdown while requests are still accepted.
 constexpr Duration leaveTime = std::chrono::seconds(1);
+/// Time for the connections to write the last replies, which are handed to them before the gateway is idle.
+constexpr Duration replyWriteTime = std::chrono::milliseconds(100);
 constexpr std::size_t maxBodyBytes = 1024;
 constexpr const char* plainText = "text/plain; version=0.0.4";
 
@@ -175,7 +177,7 @@
         m_stopping = true;
         m_engine.setServing(false, NotRunReason::Stopping, m_clock.now());
         waitUntil([this] { return m_engine.idle() && m_replyBatcher.empty(); }, maxDeadline);
-        sleepFor(std::chrono::milliseconds(100));
+        sleepFor(replyWriteTime);
         m_http.stop();
         m_targetClients.stop();
         m_control.stop();
--- a/test/Processes.cpp
+++ b/test/Processes.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -37,6 +38,15 @@
             thread.join();
         m_threads.clear();
     }
+    /// \returns the first replies that were not whole answers, one a line
+    std::string others()
+    {
+        std::lock_guard lock(m_othersMutex);
+        std::string text;
+        for (const std::string& each : m_others)
+            text += each + "\n";
+        return text;
+    }
 
     std::atomic<unsigned> answers { 0 };
     std::atomic<unsigned> partial { 0 };
@@ -59,13 +69,24 @@
                 ++refused;
             else
                 ++unknown;
+            if (!reply.body.starts_with("{\"status\":\"answer\""))
+                recordOther(reply);
         }
     }
+    void recordOther(const HttpReply& reply)
+    {
+        constexpr std::size_t maxRecorded = 20;
+        std::lock_guard lock(m_othersMutex);
+        if (m_others.size() < maxRecorded)
+            m_others.push_back(std::to_string(reply.status) + " " + reply.body);
+    }
 
     ProcessFleet& m_fleet;
     std::vector<std::string> m_fronts;
     std::atomic<bool> m_stop { false };
     std::vector<std::thread> m_threads;
+    std::mutex m_othersMutex;
+    std::vector<std::string> m_others;
 };
 
 std::uint64_t maxRunsPerShard(const ProcessFleet& fleet, const std::string& text)
@@ -109,6 +130,8 @@
         fleet.signal("ga", SIGTERM);
         CHECK(fleet.wait("ga") == 0);
         load.stop();
+        INFO("other replies:\n"
+            << load.others());
         CHECK(load.unanswered == 0);
         CHECK(load.refused == 0);
         CHECK(load.unknown == 0);
