Compare member lists and let known gossip die out, so that large fleets know themselves

Cause: an edge host ignored Membership's request for a member list, and learnt members by gossip alone.

Change: hosts compare member lists over HTTP by their digest, at first every half second, then less and less often up to every 30 s, seven of eight times within their data centre. A record that others spread too is spread less often (GossipQueue). Entries are checked for timeouts four times a second rather than on each tick, and a host recomputes what depends on the members once a tick.

--- a/Pimentopoint/src/Net/MemberSocket.cpp
+++ b/Pimentopoint/src/Net/MemberSocket.cpp
@@ -24,11 +24,11 @@
 
 } // namespace
 
-MemberSocket::MemberSocket(asio::io_context& context, const Clock& clock, const Endpoint& endpoint, Membership& membership, std::function<void()> onChanged)
+MemberSocket::MemberSocket(asio::io_context& context, const Clock& clock, const Endpoint& endpoint, Membership& membership, Hooks hooks)
     : m_socket(boundSocket(context, endpoint))
     , m_clock(clock)
     , m_membership(membership)
-    , m_onChanged(std::move(onChanged))
+    , m_hooks(std::move(hooks))
 {
     boost::system::error_code ignored;
     m_socket.non_blocking(true, ignored);
@@ -60,7 +60,14 @@
         m_socket.send_to(asio::buffer(datagram.bytes), { asio::ip::make_address_v4(datagram.destination.address()), datagram.destination.port() }, 0, ignored);
     }
     if (!actions.changedMembers.empty())
-        m_onChanged();
+        m_hooks.changed();
+    if (actions.requestMembersFrom)
+        m_hooks.requestList(*actions.requestMembersFrom);
+}
+
+void MemberSocket::merge(const std::vector<MemberRecord>& records)
+{
+    perform(m_membership.merge(records, m_clock.now()));
 }
 
 void MemberSocket::tick()
--- a/Pimentopoint/src/Net/MemberSocket.h
+++ b/Pimentopoint/src/Net/MemberSocket.h
@@ -5,18 +5,26 @@
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
+#include <vector>
 
 namespace pimentopoint {
 
 /// \class MemberSocket
 /// \ingroup Net
-/// \brief Sends and receives the datagrams of a Membership over UDP.
+/// \brief Sends and receives the datagrams of a Membership over UDP and carries out its other actions.
 class MemberSocket {
 public:
+    struct Hooks {
+        std::function<void()> changed; ///< Member records changed.
+        std::function<void(const MemberRecord&)> requestList; ///< The member list of this member is to be requested.
+    };
+
     /// \throws ListenFailure if \a endpoint can't be bound
-    MemberSocket(boost::asio::io_context& context, const Clock& clock, const Endpoint& endpoint, Membership& membership, std::function<void()> onChanged);
+    MemberSocket(boost::asio::io_context& context, const Clock& clock, const Endpoint& endpoint, Membership& membership, Hooks hooks);
 
     void tick();
+    /// Applies the member list of another host.
+    void merge(const std::vector<MemberRecord>& records);
     void leave();
     void close();
 
@@ -27,7 +35,7 @@
     boost::asio::ip::udp::socket m_socket;
     const Clock& m_clock;
     Membership& m_membership;
-    std::function<void()> m_onChanged;
+    Hooks m_hooks;
     std::array<char, 2048> m_datagram {}; ///< Large enough for every datagram that hosts send.
     boost::asio::ip::udp::endpoint m_sender;
 };
--- a/Pimentopoint/src/Net/UpdateFeed.cpp
+++ b/Pimentopoint/src/Net/UpdateFeed.cpp
@@ -122,9 +122,12 @@
 {
     auto read = parseUpdatePath(request.requestTarget);
     if (!read) {
-        CallerAnswer answer;
-        answer.status = badRequest;
-        m_server.answer(call, answer);
+        auto answer = m_hooks.otherRequest(request.requestTarget);
+        if (!answer) {
+            answer.emplace();
+            answer->status = badRequest;
+        }
+        m_server.answer(call, *answer);
         return;
     }
     Instant now = m_clock.now();
--- a/Pimentopoint/src/Peer/Membership.cpp
+++ b/Pimentopoint/src/Peer/Membership.cpp
@@ -15,14 +15,10 @@
     constexpr unsigned leaveFanout = 16;
     /// Members probed at once by revalidate().
     constexpr unsigned revalidationProbes = 3;
-
-    std::size_t encodedBytes(const MemberRecord& record)
-    {
-        std::string bytes;
-        WireWriter writer(bytes);
-        writer(record);
-        return bytes.size();
-    }
+    /// Checks of all entries for timeouts, which are multiples of the protocol period.
+    constexpr int expiryChecksPerPeriod = 4;
+    /// One of this many member lists is requested from any data centre, the others from the local one.
+    constexpr std::uint64_t remoteListPeriod = 8;
 
 } // namespace
 
@@ -31,6 +27,7 @@
     , m_seeds(std::move(seeds))
     , m_timing(timing)
     , m_random(seed)
+    , m_listInterval(timing.minListInterval)
 {
     std::erase(m_seeds, m_self.udp());
 }
@@ -63,24 +60,29 @@
 
 void Membership::queueForGossip(const MemberRecord& record)
 {
-    std::erase_if(m_gossipQueue, [&](const GossipEntry& queued) { return queued.record.name() == record.name(); });
-    m_gossipQueue.push_back({ record, transmissionLimit() });
+    m_gossipQueue.push(record, transmissionLimit());
 }
 
 Gossip Membership::gossip()
 {
-    Gossip gossip { m_self, m_versions, {} };
-    std::sort(m_gossipQueue.begin(), m_gossipQueue.end(), [](const GossipEntry& a, const GossipEntry& b) { return a.transmissionsLeft > b.transmissionsLeft; });
-    std::size_t bytes = 0;
-    for (GossipEntry& queued : m_gossipQueue) {
-        bytes += encodedBytes(queued.record);
-        if (bytes > maxGossipBytes)
-            break;
-        gossip.records.push_back(queued.record);
-        --queued.transmissionsLeft;
+    return { m_self, m_versions, m_gossipQueue.takeForDatagram(maxGossipBytes) };
+}
+
+std::uint64_t Membership::digest() const
+{
+    std::string bytes;
+    auto append = [&bytes](const MemberRecord& record) { bytes += record.name().value() + '/' + std::to_string(record.incarnation().value()) + '/' + std::to_string(record.revision()) + '/' + std::to_string(static_cast<unsigned>(record.state())) + ' '; };
+    bool selfAppended = false;
+    for (const auto& [name, entry] : m_entries) {
+        if (!selfAppended && m_self.name() < name) {
+            append(m_self);
+            selfAppended = true;
+        }
+        append(entry.record);
     }
-    std::erase_if(m_gossipQueue, [](const GossipEntry& queued) { return !queued.transmissionsLeft; });
-    return gossip;
+    if (!selfAppended)
+        append(m_self);
+    return hashOf(bytes);
 }
 
 void Membership::sendProbe(const Endpoint& to, std::uint64_t sequence, MembershipActions& actions)
@@ -109,7 +111,10 @@
 {
     MembershipActions actions;
     checkPendingProbe(now, actions);
-    expireEntries(now, actions);
+    if (now >= m_nextExpiry) {
+        m_nextExpiry = now + m_timing.protocolPeriod / expiryChecksPerPeriod;
+        expireEntries(now, actions);
+    }
     std::erase_if(m_relayedProbes, [&](const auto& relay) { return now - relay.second.receivedAt > m_timing.protocolPeriod; });
     if (now >= m_nextProbe) {
         m_nextProbe = now + m_timing.protocolPeriod;
@@ -119,9 +124,31 @@
         m_nextSeedProbe = now + m_timing.seedInterval;
         probeSeeds(now, actions);
     }
+    if (m_timing.minListInterval > Duration(0) && now >= m_nextListRequest)
+        requestList(now, actions);
     return actions;
 }
 
+void Membership::requestList(Instant now, MembershipActions& actions)
+{
+    std::vector<MemberRecord> local;
+    std::vector<MemberRecord> all;
+    for (const auto& [name, entry] : m_entries) {
+        if (!entry.record.usable())
+            continue;
+        all.push_back(entry.record);
+        if (entry.record.dataCentre() == m_self.dataCentre())
+            local.push_back(entry.record);
+    }
+    const std::vector<MemberRecord>& candidates = local.empty() || m_random.below(remoteListPeriod) == 0 ? all : local;
+    if (candidates.empty())
+        return;
+    actions.requestMembersFrom = candidates[m_random.below(candidates.size())];
+    // The interval is random, so that members that start together don't send their requests together.
+    m_nextListRequest = now + scaled(m_listInterval, (1 + m_random.fraction()) / 2);
+    m_listInterval = std::min(2 * m_listInterval, m_timing.maxListInterval);
+}
+
 void Membership::checkPendingProbe(Instant now, MembershipActions& actions)
 {
     if (!m_pendingProbe)
@@ -239,6 +266,8 @@
 {
     if (applyRecord(record, now, actions))
         queueForGossip(record);
+    else
+        m_gossipQueue.recordDuplicate(record);
 }
 
 void Membership::applyGossip(const Gossip& gossip, Instant now, MembershipActions& actions)
@@ -246,7 +275,8 @@
     if (gossip.sender.name() == m_self.name())
         return handleOwnRecord(gossip.sender, actions);
     bool hadNoMembers = m_entries.empty();
-    applyGossipedRecord(gossip.sender, now, actions);
+    if (applyRecord(gossip.sender, now, actions))
+        queueForGossip(gossip.sender);
     for (const MemberRecord& record : gossip.records)
         applyGossipedRecord(record, now, actions);
     if (hadNoMembers)
@@ -320,6 +350,10 @@
     MembershipActions actions;
     for (const MemberRecord& record : records)
         applyRecord(record, now, actions);
+    if (!actions.changedMembers.empty()) {
+        m_listInterval = m_timing.minListInterval;
+        m_nextListRequest = std::min(m_nextListRequest, now + m_listInterval);
+    }
     return actions;
 }
 
--- a/Pimentopoint/src/Peer/Membership.h
+++ b/Pimentopoint/src/Peer/Membership.h
@@ -2,6 +2,7 @@
 
 #include "../Core/Clock.h"
 #include "../Core/Random.h"
+#include "GossipQueue.h"
 #include "Messages.h"
 
 #include <cstdint>
@@ -21,6 +22,8 @@
     unsigned suspicionPeriods = 4; ///< Protocol periods after which a suspected member is declared dead.
     unsigned indirectProbes = 3; ///< Number of members requested to probe on behalf of this one.
     unsigned noticeFanout = 4; ///< Number of members notified at once of a newer document.
+    Duration minListInterval { 0 }; ///< Shortest interval between two requests for a member list; 0: a list is requested only once, after the start.
+    Duration maxListInterval = std::chrono::seconds(30); ///< Longest such interval; reached while lists bring no changes.
 };
 
 /// Actions that the caller of Membership has to execute.
@@ -42,7 +45,8 @@
 /// \ingroup Peer
 /// \brief Failure detection and dissemination of member records by gossip (SWIM).
 /// \details Records are ordered by incarnation and revision. Takes datagrams and returns actions; uses no socket, clock or lock.
-/// The load of one member does not depend on the number of members.
+/// The load of one member does not depend on the number of members. Gossip may miss members when many records change at once;
+/// lists of all records are therefore compared as well, mostly within a data centre.
 class Membership {
 public:
     Membership(MemberRecord self, std::vector<Endpoint> seeds, MembershipTiming timing, std::uint64_t seed);
@@ -69,6 +73,8 @@
     /// \returns the record of \a name, or null if the member is unknown
     const MemberRecord* member(const MemberName& name) const;
     std::size_t usableCount() const;
+    /// \returns a digest of the records of all members, this one included; equal lists have equal digests
+    std::uint64_t digest() const;
 
 private:
     struct Entry {
@@ -86,11 +92,6 @@
         Endpoint origin;
         Instant receivedAt;
     };
-    struct GossipEntry {
-        MemberRecord record;
-        unsigned transmissionsLeft;
-    };
-
     /// \returns whether \a record replaced the known one or was the first of its member
     bool applyRecord(const MemberRecord& record, Instant now, MembershipActions& actions);
     void applyGossipedRecord(const MemberRecord& record, Instant now, MembershipActions& actions);
@@ -105,6 +106,7 @@
     void checkPendingProbe(Instant now, MembershipActions& actions);
     void probeNext(Instant now, MembershipActions& actions);
     void probeSeeds(Instant now, MembershipActions& actions);
+    void requestList(Instant now, MembershipActions& actions);
     void sendProbe(const Endpoint& to, std::uint64_t sequence, MembershipActions& actions);
     void sendNotices(unsigned count, MembershipActions& actions);
     Gossip gossip();
@@ -121,11 +123,14 @@
     std::size_t m_probeIndex = 0;
     std::optional<PendingProbe> m_pendingProbe;
     std::map<std::uint64_t, RelayedProbe> m_relayedProbes;
-    std::vector<GossipEntry> m_gossipQueue;
+    GossipQueue m_gossipQueue;
+    Duration m_listInterval;
+    Instant m_nextListRequest {};
     std::uint64_t m_sequence = 0;
     std::uint64_t m_firstRevalidationSequence = 0;
     Instant m_nextProbe {};
     Instant m_nextSeedProbe {};
+    Instant m_nextExpiry {};
 };
 
 } // namespace pimentopoint
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -37,6 +37,8 @@
     constexpr double delegatedFraction = 0.5;
     /// Processor time of a sub-request: the 48 us that the users' benchmark charges, plus a margin.
     constexpr Duration subRequestProcessorTime = std::chrono::microseconds(60);
+    /// Shortest interval between two requests for a member list. Hosts that start together know each other after about eight of them.
+    constexpr Duration minMemberListInterval = std::chrono::milliseconds(500);
     constexpr unsigned readinessThreads = 2;
     constexpr std::size_t readinessBodyBytes = 1024;
     constexpr unsigned unavailable = 503;
@@ -58,6 +60,13 @@
         return timing;
     }
 
+    MembershipTiming membershipTiming()
+    {
+        MembershipTiming timing;
+        timing.minListInterval = minMemberListInterval;
+        return timing;
+    }
+
     MemberRecord selfRecord(const HostSettings& settings)
     {
         MemberRecord record(settings.name, MemberRole::Front, settings.dataCentre, newIncarnation());
@@ -95,11 +104,12 @@
           [this](const TargetName& target, std::size_t open) { m_targetPool.setOpenConnections(target, open, m_clock.now()); })
     , m_callerServer(m_context, m_clock, platform::headerNames(), m_settings.callerEndpoint, m_settings.maxCallerConnections(),
           callerHooks(false))
-    , m_membership(selfRecord(m_settings), m_settings.seeds, MembershipTiming(), makeSeed(m_settings, "members"))
-    , m_memberSocket(m_context, m_clock, m_settings.memberEndpoint, m_membership, [this] { updateHosts(); })
+    , m_membership(selfRecord(m_settings), m_settings.seeds, membershipTiming(), makeSeed(m_settings, "members"))
+    , m_memberLists(m_context, m_membership, [this](const std::vector<MemberRecord>& records) { m_memberSocket.merge(records); })
+    , m_memberSocket(m_context, m_clock, m_settings.memberEndpoint, m_membership, { [this] { m_hostsChanged = true; }, [this](const MemberRecord& member) { m_memberLists.request(member); } })
     , m_hostCount(m_clock.now())
     , m_updateFeed(m_context, m_clock, m_metrics, m_membership.self(), { m_settings.platformEndpoint, m_settings.memberEndpoint, m_settings.maxUpdateDelay, makeSeed(m_settings, "news") },
-          { platform::storePath, platform::parseStoreResult, [this](const std::vector<StoreItem>& items) { applyUpdates(items); } })
+          { platform::storePath, platform::parseStoreResult, [this](const std::vector<StoreItem>& items) { applyUpdates(items); }, [this](const std::string& path) { return m_memberLists.answer(path); } })
 {
     m_targetConnections.onAcknowledged([this](AttemptNumber attempt) {
         m_engine.handleAcknowledgement(attempt, m_clock.now());
@@ -250,6 +260,9 @@
     }
     setReady(hasCompleteState() && !m_stoppingSince);
     m_memberSocket.tick();
+    // Members change in bursts, and their number makes each update costly.
+    if (std::exchange(m_hostsChanged, false))
+        updateHosts();
     if (!m_stoppingSince) {
         for (const TargetPool::Choice& choice : m_targetPool.chooseUnconnected(advanceConnectionsPerTick, now))
             m_targetConnections.open(choice.name, choice.endpoint);
--- a/daemons/EdgeHost.h
+++ b/daemons/EdgeHost.h
@@ -69,7 +69,9 @@
     CallerServer m_callerServer;
     std::optional<CallerServer> m_hostServer; ///< Accepts the fan-outs that other hosts delegate to this one.
     Membership m_membership;
+    MemberListExchange m_memberLists;
     MemberSocket m_memberSocket;
+    bool m_hostsChanged = false;
     HostCountEstimate m_hostCount;
     UpdateFeed m_updateFeed;
     std::set<DataCentreName> m_evacuatedDataCentres;
