Read the store once per data centre, and relay updates along a tree of hosts

Cause: a host whose source of updates failed turned to the store, and so did each of its readers: when the store refused the one that read it, all 59 hosts of a data centre read the store instead. The reader was chosen by hash, so in four of five data centres it was a weak host with a link of 20 Mbit/s, which sent each new configuration to all others. A host that started watched the store until it knew the others.

Change: UpdateRelay decides, without sockets, from where a host reads and what it replies; UpdateFeed only carries it out. The hosts of a data centre, ranked by processor time, form a tree of 32 readers each; a failed host is left out of it for 3 s. Replies carry the age of what they state, so that hosts which don't read the store themselves can relay; what comes from a host below is not relayed. The store is avoided for 0.25 s after a failure, twice as long after each further one, up to 1 s. First pages may be stale (a tenth of the cost), and the store is not watched before the other hosts had 0.4 s to be found.

--- a/Pimentopoint/src/Net/HostHeaders.h
+++ b/Pimentopoint/src/Net/HostHeaders.h
@@ -15,4 +15,7 @@
 /// In the reply to a delegated request: the time from the request to the reply.
 inline constexpr std::string_view took = "Pimentopoint-Took";
 
+/// In the reply to a read of updates: the time since the store confirmed what the reply states.
+inline constexpr std::string_view age = "Pimentopoint-Age";
+
 } // namespace pimentopoint::host_headers
--- a/Pimentopoint/src/Net/HttpReader.cpp
+++ b/Pimentopoint/src/Net/HttpReader.cpp
@@ -116,7 +116,9 @@
     Result result;
     result.status = m_parser->get().result_int();
     result.body = std::move(m_parser->get().body());
-    finish(std::move(result), m_input.empty() && m_parser->keep_alive());
+    bool reusable = m_input.empty() && m_parser->keep_alive();
+    result.headers = std::move(m_parser->get().base());
+    finish(std::move(result), reusable);
 }
 
 void HttpReader::finish(Result result, bool reusable)
--- a/Pimentopoint/src/Net/HttpReader.h
+++ b/Pimentopoint/src/Net/HttpReader.h
@@ -21,6 +21,7 @@
 public:
     struct Result {
         unsigned status = 0; ///< HTTP status code; 0 if there is no reply.
+        boost::beast::http::fields headers;
         std::string body;
         std::string cause; ///< Why there is no reply.
     };
--- a/Pimentopoint/src/Net/UpdateFeed.cpp
+++ b/Pimentopoint/src/Net/UpdateFeed.cpp
@@ -2,120 +2,94 @@
 
 #include "../Core/Log.h"
 #include "../Serve/UpdateFormat.h"
+#include "HostHeaders.h"
+#include "HttpText.h"
 
 namespace pimentopoint {
 
 namespace {
 
-    /// Fractions of the maximum update delay: a watch waits for updates for the watch fraction, and its reply may take the margin fraction longer.
-    /// When a host becomes unresponsive, its readers lose a watch at that host, its margin and the time of one read of the store.
-    constexpr double storeWatchFraction = 0.45;
-    constexpr double storeMarginFraction = 0.17;
-    constexpr double batchFraction = 0.1; ///< Interval between two watches after an update; limits the calls to the store, each of which has a cost.
-    constexpr double hostWatchFraction = 0.25;
-    constexpr double hostMarginFraction = 0.12;
-    /// Fraction after which the known state may be outdated: a watch, its margin and the network delay.
-    constexpr double freshFraction = 0.75;
-    constexpr std::size_t maxReaders = 512; ///< Several times the number of hosts in the largest data centre.
-    constexpr Duration cleanupInterval = std::chrono::seconds(5);
+    constexpr std::size_t maxReaders = 512; ///< Several times the number of hosts that read updates and member lists from one host.
+    constexpr Duration timeoutCheckInterval = std::chrono::seconds(5);
+    constexpr unsigned statusOk = 200;
     constexpr unsigned unavailable = 503;
     constexpr unsigned badRequest = 400;
     constexpr Duration retryAfter = std::chrono::seconds(1);
 
-    StoreTiming timing(Duration maxUpdateDelay)
+    std::optional<Duration> ageOf(const HttpReader::Result& response)
     {
-        StoreTiming timing;
-        timing.watchWait = scaled(maxUpdateDelay, storeWatchFraction);
-        timing.watchMargin = scaled(maxUpdateDelay, storeMarginFraction);
-        timing.batchInterval = scaled(maxUpdateDelay, batchFraction);
-        return timing;
+        auto microseconds = parseNumber(headerValue(response.headers, host_headers::age));
+        return microseconds ? std::optional(Duration(static_cast<Duration::rep>(*microseconds))) : std::nullopt;
     }
 
 } // namespace
 
-UpdateFeed::UpdateFeed(boost::asio::io_context& context, const Clock& clock, Metrics& metrics, MemberRecord self, Options options, Hooks hooks)
+UpdateFeed::UpdateFeed(boost::asio::io_context& context, const Clock& clock, Metrics& metrics, const MemberRecord& self, Options options, Hooks hooks)
     : m_context(context)
     , m_clock(clock)
     , m_metrics(metrics)
     , m_options(std::move(options))
     , m_hooks(std::move(hooks))
-    , m_follower("", timing(m_options.maxUpdateDelay), m_options.seed)
-    , m_source(std::move(self))
+    , m_relay(self, m_options.maxUpdateDelay, m_options.seed)
     , m_server(context, clock, m_headerNames, m_options.listen, maxReaders,
-          { [this](CallId call, const std::shared_ptr<const CallerRequest>& request) { this->handleRequest(call, *request); }, [this](CallId call) { m_waiting.erase(call); },
+          { [this](CallId call, const std::shared_ptr<const CallerRequest>& request) { this->handleRequest(call, *request); }, [this](CallId call) { m_relay.handleReaderDisconnected(call); },
               [] { return CallerLimits(); } })
 {
 }
 
 void UpdateFeed::tick()
 {
-    Instant now = m_clock.now();
-    startRead();
-    replyToWaiting(now);
-    if (now >= m_nextCleanup) {
-        m_nextCleanup = now + cleanupInterval;
-        m_mirror.removeExpired(now);
-        m_server.enforceTimeouts(now);
+    UpdateActions actions;
+    m_relay.tick(m_clock.now(), actions);
+    perform(std::move(actions));
+    if (m_clock.now() >= m_nextTimeoutCheck) {
+        m_nextTimeoutCheck = m_clock.now() + timeoutCheckInterval;
+        m_server.enforceTimeouts(m_clock.now());
     }
 }
 
-HttpReader& UpdateFeed::reader(const UpdateSource::Choice& choice)
+void UpdateFeed::perform(UpdateActions actions)
 {
-    auto& reader = m_readers[choice.host.value_or(Endpoint())];
+    if (actions.sourceChange) {
+        bool lost = actions.sourceChange->lost;
+        Log::event(lost ? Severity::Warning : Severity::Info, lost ? "news-source-lost" : "news-source-regained",
+            { { "source", m_latestSource.host ? m_latestSource.host->text() : "store" }, { "cause", actions.sourceChange->cause }, { "revision", m_relay.revision() } });
+    }
+    if (actions.updated)
+        m_hooks.updates(actions.items);
+    for (const UpdateActions::Reply& each : actions.replies)
+        reply(each);
+    for (const UpdateActions::Read& each : actions.reads)
+        startRead(each);
+}
+
+HttpReader& UpdateFeed::reader(const UpdateSource::Choice& source)
+{
+    auto& reader = m_readers[source.host.value_or(Endpoint())];
     if (!reader)
-        reader = std::make_shared<HttpReader>(m_context, choice.host.value_or(m_options.store));
+        reader = std::make_shared<HttpReader>(m_context, source.host.value_or(m_options.store));
     return *reader;
 }
 
-void UpdateFeed::startRead()
+void UpdateFeed::startRead(const UpdateActions::Read& each)
 {
-    Instant now = m_clock.now();
-    auto read = m_follower.beginRead(now);
-    if (!read)
-        return;
-    UpdateSource::Choice choice = m_source.choose(now);
-    if (choice.host) {
-        if (read->kind == StoreRead::Kind::Watch) {
-            read->wait = scaled(m_options.maxUpdateDelay, hostWatchFraction);
-            read->timeout = read->wait + scaled(m_options.maxUpdateDelay, hostMarginFraction);
-        }
-    }
-    m_metrics.add("pimentopoint_news_reads_total", choice.host ? "source=\"host\"" : "source=\"store\"");
-    reader(choice).get(choice.host ? updatePath(*read) : m_hooks.storePath(*read), read->timeout,
-        [this, choice, read = *read](const HttpReader::Result& response) { handleResponse(choice, read, response); });
+    const UpdateSource::Choice& source = each.source;
+    m_metrics.add("pimentopoint_news_reads_total", source.host ? "source=\"host\"" : "source=\"store\"");
+    reader(source).get(source.host ? updatePath(each.read) : m_hooks.storePath(each.read), each.read.timeout,
+        [this, source, read = each.read](const HttpReader::Result& response) { handleResponse(source, read, response); });
 }
 
-void UpdateFeed::handleResponse(const UpdateSource::Choice& choice, const StoreRead& read, const HttpReader::Result& response)
+void UpdateFeed::handleResponse(const UpdateSource::Choice& source, const StoreRead& read, const HttpReader::Result& response)
 {
-    Instant now = m_clock.now();
     StoreResult result;
     if (!response.status)
         result.cause = response.cause;
     else
-        result = choice.host ? decodeUpdates(response.status, response.body) : m_hooks.storeResult(read, response.status, response.body);
-    bool failed = result.kind == StoreResult::Kind::Failed;
-    if (failed)
-        m_source.recordFailure(choice, now);
-    else
-        m_source.recordSuccess(choice);
-    if (!failed && !choice.host)
-        m_storeAnsweredAt = now;
-    if (failed != m_sourceLost) {
-        m_sourceLost = failed;
-        Log::event(failed ? Severity::Warning : Severity::Info, failed ? "news-source-lost" : "news-source-regained",
-            { { "source", choice.host ? choice.host->text() : "store" }, { "cause", failed ? result.cause : "a read succeeded" }, { "revision", m_follower.revision() } });
-    }
-    StoreUpdate update = m_follower.handleResult(std::move(result), now);
-    std::vector<StoreItem> items = m_mirror.apply(update, m_follower.revision(), now);
-    if (!items.empty() || update.allKeys)
-        m_hooks.updates(items);
-    replyToWaiting(now);
-    startRead();
-}
-
-bool UpdateFeed::isFresh(Instant now) const
-{
-    return m_storeAnsweredAt && now - *m_storeAnsweredAt < scaled(m_options.maxUpdateDelay, freshFraction) && !m_sourceLost;
+        result = source.host ? decodeUpdates(response.status, response.body) : m_hooks.storeResult(read, response.status, response.body);
+    m_latestSource = source;
+    UpdateActions actions;
+    m_relay.handleResult(source, std::move(result), ageOf(response), m_clock.now(), actions);
+    perform(std::move(actions));
 }
 
 void UpdateFeed::handleRequest(CallId call, const CallerRequest& request)
@@ -130,50 +104,24 @@
         m_server.answer(call, *answer);
         return;
     }
-    Instant now = m_clock.now();
-    // A full read gets a reply even if the known state may be outdated: the reader has no state at all and can't reach the store.
-    if (!m_mirror.complete() || (read->kind == StoreRead::Kind::Watch && !isFresh(now))) {
-        refuse(call, "what is known here may be old");
-        return;
-    }
-    if (m_mirror.hasUpdates(*read))
-        reply(call, *read);
-    else
-        m_waiting[call] = { *read, now + read->wait };
+    UpdateActions actions;
+    m_relay.handleRead(call, *read, m_clock.now(), actions);
+    perform(std::move(actions));
 }
 
-void UpdateFeed::reply(CallId call, const StoreRead& read)
+void UpdateFeed::reply(const UpdateActions::Reply& reply)
 {
     CallerAnswer answer;
-    answer.status = 200;
-    answer.body = encodeUpdates(m_mirror.answer(read));
-    m_server.answer(call, answer);
-}
-
-void UpdateFeed::refuse(CallId call, const char* cause)
-{
-    CallerAnswer answer;
-    answer.status = unavailable;
-    answer.retryAfter = retryAfter;
-    answer.body = cause;
-    m_server.answer(call, answer);
-}
-
-void UpdateFeed::replyToWaiting(Instant now)
-{
-    std::vector<CallId> due;
-    for (const auto& [call, waiting] : m_waiting) {
-        if (m_mirror.hasUpdates(waiting.read) || now >= waiting.expiresAt || !isFresh(now))
-            due.push_back(call);
-    }
-    for (CallId call : due) {
-        StoreRead read = m_waiting[call].read;
-        m_waiting.erase(call);
-        if (isFresh(now))
-            reply(call, read);
-        else
-            refuse(call, "what is known here may be old");
+    if (reply.result.kind == StoreResult::Kind::Failed) {
+        answer.status = unavailable;
+        answer.retryAfter = retryAfter;
+        answer.body = reply.result.cause;
+    } else {
+        answer.status = statusOk;
+        answer.body = encodeUpdates(reply.result);
+        answer.headers.emplace_back(host_headers::age, std::to_string(reply.age.count()));
     }
+    m_server.answer(reply.reader, answer);
 }
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Net/UpdateFeed.h
+++ b/Pimentopoint/src/Net/UpdateFeed.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "../Core/Metrics.h"
-#include "../Serve/StoreMirror.h"
-#include "../Serve/UpdateSource.h"
+#include "../Serve/UpdateRelay.h"
 #include "CallerServer.h"
 #include "HttpReader.h"
 
@@ -12,7 +11,7 @@
 
 /// \class UpdateFeed
 /// \ingroup Net
-/// \brief Reads updates of the platform's store, directly or through another host, and relays them to other hosts.
+/// \brief Carries out the reads of an UpdateRelay over HTTP and serves the reads of other hosts.
 class UpdateFeed {
 public:
     struct Hooks {
@@ -29,44 +28,32 @@
     };
 
     /// \throws ListenFailure if the address for other hosts can't be bound
-    UpdateFeed(boost::asio::io_context& context, const Clock& clock, Metrics& metrics, MemberRecord self, Options options, Hooks hooks);
+    UpdateFeed(boost::asio::io_context& context, const Clock& clock, Metrics& metrics, const MemberRecord& self, Options options, Hooks hooks);
 
-    void setMembers(std::vector<MemberRecord> members) { m_source.setMembers(std::move(members)); }
+    void setMembers(const std::vector<MemberRecord>& members) { m_relay.setMembers(members); }
     /// Starts the read that is due, if any, and replies to other hosts whose wait is over.
     void tick();
     /// \returns whether all items have been read once
-    bool complete() const { return m_follower.complete(); }
+    bool complete() const { return m_relay.complete(); }
 
 private:
-    struct WaitingRead {
-        StoreRead read;
-        Instant expiresAt;
-    };
-
-    void startRead();
-    void handleResponse(const UpdateSource::Choice& choice, const StoreRead& read, const HttpReader::Result& response);
+    void perform(UpdateActions actions);
+    void startRead(const UpdateActions::Read& read);
+    void handleResponse(const UpdateSource::Choice& source, const StoreRead& read, const HttpReader::Result& response);
     void handleRequest(CallId call, const CallerRequest& request);
-    void reply(CallId call, const StoreRead& read);
-    void refuse(CallId call, const char* cause);
-    void replyToWaiting(Instant now);
-    /// \returns whether this host read from the store itself recently and its latest read succeeded, so that its known state is current
-    bool isFresh(Instant now) const;
-    HttpReader& reader(const UpdateSource::Choice& choice);
+    void reply(const UpdateActions::Reply& reply);
+    HttpReader& reader(const UpdateSource::Choice& source);
 
     boost::asio::io_context& m_context;
     const Clock& m_clock;
     Metrics& m_metrics;
     Options m_options;
     Hooks m_hooks;
-    HeaderNames m_headerNames; ///< All names are empty: these reads need no headers.
-    StoreFollower m_follower;
-    UpdateSource m_source;
-    StoreMirror m_mirror;
+    HeaderNames m_headerNames; ///< All names are empty: these reads need no headers of the platform.
+    UpdateRelay m_relay;
     std::map<Endpoint, std::shared_ptr<HttpReader>> m_readers;
-    std::optional<Instant> m_storeAnsweredAt;
-    bool m_sourceLost = false;
-    Instant m_nextCleanup {};
-    std::map<CallId, WaitingRead> m_waiting;
+    UpdateSource::Choice m_latestSource; ///< Source of the latest result, for the log.
+    Instant m_nextTimeoutCheck {};
     CallerServer m_server;
 };
 
--- a/Pimentopoint/src/Serve/StoreFollower.cpp
+++ b/Pimentopoint/src/Serve/StoreFollower.cpp
@@ -26,6 +26,7 @@
     if (m_listing) {
         read.kind = StoreRead::Kind::Page;
         read.afterKey = m_afterKey;
+        read.mayBeStale = m_mayBeStale;
         read.timeout = m_timing.readTimeout;
     } else {
         read.kind = StoreRead::Kind::Watch;
@@ -74,6 +75,7 @@
     m_readOutstanding = false;
     if (isOutdated(result)) {
         // The source's listing is older than the known revision, so items missing from it have not necessarily been removed.
+        m_mayBeStale = false;
         restartListing();
         result.kind = StoreResult::Kind::Failed;
     }
@@ -86,6 +88,7 @@
     m_failures = 0;
     m_nextReadAt = now;
     if (result.kind == StoreResult::Kind::HistoryLost) {
+        m_mayBeStale = false;
         restartListing();
         return {};
     }
--- a/Pimentopoint/src/Serve/StoreFollower.h
+++ b/Pimentopoint/src/Serve/StoreFollower.h
@@ -29,6 +29,7 @@
     std::string prefix;
     std::string afterKey;
     std::uint64_t afterRevision = 0;
+    bool mayBeStale = false; ///< Whether a page may be older than the store's latest revision; such reads cost the store less.
     Duration wait { 0 }; ///< Longest time for which the store may hold a watch open.
     Duration timeout { 0 }; ///< Time after which the read fails.
 };
@@ -68,6 +69,8 @@
 /// \ingroup Serve
 /// \brief Follows a prefix of the platform's store: lists it in pages, then watches it, and lists it again if the source
 /// no longer has all changes since the known revision.
+/// \details The first listing may be stale: the watch that follows it brings all later changes at once. If the source lacks them, or
+/// has pages of different ages, the next listing must be current.
 class StoreFollower {
 public:
     StoreFollower(std::string prefix, StoreTiming timing, std::uint64_t seed);
@@ -99,6 +102,7 @@
     std::uint64_t m_listingRevision = 0; ///< Revision of the first page; the watch delivers later changes.
     std::set<std::string> m_listedKeys;
     std::uint64_t m_revision = 0;
+    bool m_mayBeStale = true; ///< Whether the next listing may be stale.
     unsigned m_failures = 0;
 };
 
--- a/Pimentopoint/src/Serve/UpdateSource.h
+++ b/Pimentopoint/src/Serve/UpdateSource.h
@@ -13,30 +13,41 @@
 /// \class UpdateSource
 /// \ingroup Serve
 /// \brief Chooses the source from which a host reads updates of the platform's store: the store itself or another host.
-/// \details In each data centre the host of the lowest rank reads the store, and the others read from that host. A host whose source fails
-/// reads the store itself, and if that fails too, any other host.
+/// \details The hosts of a data centre, ranked by processor time, form a tree: the first one reads the store, and each other one reads
+/// from a host above it. A host whose source fails takes its place in the tree without that host, for a while. So when the store
+/// refuses the first host, the second one reads the store, and the others read from it. If the store fails too, other hosts are tried.
 class UpdateSource {
 public:
     struct Choice {
         std::optional<Endpoint> host; ///< Address of the host to read from; nothing: the store.
+        bool isBelow = false; ///< Whether the host is below this one in the tree, so that it may itself read from here.
     };
 
     explicit UpdateSource(MemberRecord self);
 
-    void setMembers(std::vector<MemberRecord> members);
+    void setMembers(const std::vector<MemberRecord>& members);
     Choice choose(Instant now) const;
     void recordFailure(const Choice& choice, Instant now);
     void recordSuccess(const Choice& choice);
-    /// \returns whether this host reads the store for its data centre
-    bool readsStore() const { return !m_leader; }
+    /// \returns whether other usable hosts of this data centre are known
+    bool knowsLocalMembers() const { return m_knowsLocalMembers; }
 
 private:
-    bool isUsable(const Choice& choice, Instant now) const;
+    /// \returns the host above this one in the tree of hosts that are not avoided; nothing if this host is the first one
+    std::optional<Endpoint> parent(Instant now) const;
+    bool isAvoided(const Endpoint& source, Instant now) const;
+
+    /// State of a source that failed; the empty endpoint is the store.
+    struct Failure {
+        Instant avoidUntil;
+        unsigned count = 0; ///< Number of failures since the last success.
+    };
 
     MemberRecord m_self;
-    std::vector<MemberRecord> m_members;
-    std::optional<Endpoint> m_leader; ///< Host that reads the store for this data centre; nothing: this host does.
-    std::map<Endpoint, Instant> m_avoidUntil; ///< Time until which each source is avoided; the empty endpoint is the store.
+    std::vector<Endpoint> m_above; ///< Usable hosts of this data centre that rank before this one, in the order of their ranks.
+    std::vector<Choice> m_fallbacks; ///< Hosts that are tried if the store fails.
+    bool m_knowsLocalMembers = false;
+    std::map<Endpoint, Failure> m_failures;
 };
 
 } // namespace pimentopoint
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -361,7 +361,7 @@
     double fanOutFraction = m_hostCount.fraction(weights.own, now);
     m_targetPool.setHostFractions(m_hostCount.value(now), fanOutFraction);
     m_aggregatorPool.setMembers(members);
-    m_updateFeed.setMembers(std::move(members));
+    m_updateFeed.setMembers(members);
     m_engine.setHostFractions(1 / static_cast<double>(m_hostCount.value(now)), fanOutFraction);
     m_metrics.setGauge("pimentopoint_hosts", "", m_hostCount.value(now));
 }
--- /dev/null
+++ b/test/UpdateFleet.h
@@ -0,0 +1,206 @@
+/// \file
+/// Simulation of the hosts of one data centre that read updates of the platform's store. It runs UpdateRelay on one thread with
+/// simulated time and without a network, and depends on Core, Peer and Serve.
+#pragma once
+
+#include <Pimentopoint/Core>
+#include <Pimentopoint/Peer>
+#include <Pimentopoint/Serve>
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pimentopoint {
+
+/// \class UpdateFleet
+/// \brief A store whose revision rises, and hosts that read it directly or through each other.
+class UpdateFleet {
+public:
+    static constexpr Duration maxUpdateDelay = std::chrono::seconds(6);
+
+    /// Hosts start at the same time; each knows the others after \a discoveryTime.
+    UpdateFleet(std::size_t hosts, Duration discoveryTime)
+        : m_discoveryTime(discoveryTime)
+    {
+        std::vector<MemberRecord> records;
+        for (std::size_t i = 0; i < hosts; ++i) {
+            MemberRecord record(MemberName("host-" + std::to_string(i)), MemberRole::Front, DataCentreName("a"), Incarnation(1));
+            Endpoint endpoint("10.0.0.1", static_cast<std::uint16_t>(i + 1));
+            record.setEndpoints(endpoint, endpoint, endpoint);
+            // The first host has most processor time, so that the tests know which one reads the store.
+            record.setMillicores(i < 3 ? static_cast<std::uint32_t>(600 - 100 * i) : 120);
+            records.push_back(record);
+        }
+        for (std::size_t i = 0; i < hosts; ++i)
+            m_hosts.push_back(std::make_unique<Host>(Host { UpdateRelay(records[i], maxUpdateDelay, i + 1), {}, 0, 0 }));
+        m_records = std::move(records);
+    }
+
+    void run(Duration duration)
+    {
+        for (Instant end = m_now + duration; m_now < end; m_now += step) {
+            if (!m_membersKnown && m_now >= Instant(m_discoveryTime))
+                announceMembers();
+            replyToStoreWatches();
+            deliver();
+            for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+                if (m_now.time_since_epoch() % tickInterval != Duration(0) || silent.contains(i))
+                    continue;
+                UpdateActions actions;
+                m_hosts[i]->relay.tick(m_now, actions);
+                perform(i, std::move(actions));
+            }
+        }
+    }
+    /// Changes an item of the store.
+    void publish() { ++m_storeRevision; }
+    /// \returns the number of hosts that know the latest change
+    std::size_t informedHosts() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_hosts.begin(), m_hosts.end(), [this](const auto& host) { return host->known == m_storeRevision; }));
+    }
+    std::size_t size() const { return m_hosts.size(); }
+    Instant now() const { return m_now; }
+
+    std::set<std::size_t> refused; ///< Hosts that the store refuses.
+    std::set<std::size_t> silent; ///< Hosts that do nothing and reply to nobody.
+    std::size_t storeReads = 0; ///< Reads at the store, refused ones included, but for stale pages.
+    std::size_t stalePages = 0;
+    std::size_t refusals = 0; ///< Reads that hosts refused to each other.
+
+private:
+    static constexpr Duration step = std::chrono::milliseconds(2); ///< Also the delay of each message.
+    static constexpr Duration tickInterval = std::chrono::milliseconds(100);
+
+    struct Host {
+        UpdateRelay relay;
+        UpdateSource::Choice source;
+        std::uint64_t readNumber = 0; ///< Identifies the outstanding read.
+        std::uint64_t known = 0; ///< Latest revision of the item.
+    };
+    struct StoreWatch {
+        std::size_t host;
+        std::uint64_t readNumber;
+        StoreRead read;
+        Instant expiresAt;
+    };
+    struct Event {
+        Instant at;
+        std::uint64_t order;
+        std::function<void()> run;
+        bool operator>(const Event& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+    };
+
+    void schedule(Duration delay, std::function<void()> run) { m_events.push({ m_now + delay, ++m_order, std::move(run) }); }
+    void deliver()
+    {
+        while (!m_events.empty() && m_events.top().at <= m_now) {
+            Event event = m_events.top();
+            m_events.pop();
+            event.run();
+        }
+    }
+    void announceMembers()
+    {
+        m_membersKnown = true;
+        for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+            std::vector<MemberRecord> others = m_records;
+            others.erase(others.begin() + static_cast<std::ptrdiff_t>(i));
+            m_hosts[i]->relay.setMembers(others);
+        }
+    }
+    StoreResult storeResult(const StoreRead& read) const
+    {
+        StoreResult result;
+        result.kind = read.kind == StoreRead::Kind::Page ? StoreResult::Kind::Items : StoreResult::Kind::Changes;
+        result.revision = m_storeRevision;
+        if (read.kind == StoreRead::Kind::Page || read.afterRevision < m_storeRevision)
+            result.items.push_back({ "item", "v", m_storeRevision, false });
+        return result;
+    }
+    void finish(std::size_t host, std::uint64_t number, StoreResult result, std::optional<Duration> age)
+    {
+        Host& each = *m_hosts[host];
+        if (each.readNumber != number || silent.contains(host))
+            return;
+        ++each.readNumber;
+        UpdateActions actions;
+        each.relay.handleResult(each.source, std::move(result), age, m_now, actions);
+        perform(host, std::move(actions));
+    }
+    void perform(std::size_t host, UpdateActions actions)
+    {
+        for (const StoreItem& item : actions.items)
+            m_hosts[host]->known = std::max(m_hosts[host]->known, item.revision);
+        for (const UpdateActions::Reply& reply : actions.replies) {
+            auto [reader, number] = m_readers.at(reply.reader);
+            refusals += reply.result.kind == StoreResult::Kind::Failed;
+            schedule(step, [this, reader = reader, number = number, reply] { finish(reader, number, reply.result, reply.age); });
+        }
+        for (const UpdateActions::Read& each : actions.reads)
+            send(host, each);
+    }
+    void send(std::size_t host, const UpdateActions::Read& each)
+    {
+        std::uint64_t number = m_hosts[host]->readNumber;
+        m_hosts[host]->source = each.source;
+        schedule(each.read.timeout, [this, host, number] {
+            StoreResult failure;
+            failure.cause = "no reply within the timeout";
+            finish(host, number, failure, std::nullopt);
+        });
+        if (each.source.host) {
+            std::size_t to = each.source.host->port() - 1U;
+            CallId reader(++m_lastReader);
+            m_readers[reader] = { host, number };
+            schedule(step, [this, to, reader, read = each.read] {
+                if (silent.contains(to))
+                    return;
+                UpdateActions actions;
+                m_hosts[to]->relay.handleRead(reader, read, m_now, actions);
+                perform(to, std::move(actions));
+            });
+            return;
+        }
+        ++(each.read.mayBeStale ? stalePages : storeReads);
+        StoreRead read = each.read;
+        schedule(step, [this, host, number, read] {
+            if (refused.contains(host)) {
+                StoreResult refusal;
+                refusal.cause = "status 503";
+                schedule(step, [this, host, number, refusal] { finish(host, number, refusal, std::nullopt); });
+            } else if (read.kind == StoreRead::Kind::Page) {
+                schedule(step, [this, host, number, result = storeResult(read)] { finish(host, number, result, std::nullopt); });
+            } else {
+                m_storeWatches.push_back({ host, number, read, m_now + read.wait });
+            }
+        });
+    }
+    void replyToStoreWatches()
+    {
+        std::erase_if(m_storeWatches, [this](const StoreWatch& watch) {
+            if (watch.read.afterRevision >= m_storeRevision && m_now < watch.expiresAt)
+                return false;
+            schedule(step, [this, watch, result = storeResult(watch.read)] { finish(watch.host, watch.readNumber, result, std::nullopt); });
+            return true;
+        });
+    }
+
+    Duration m_discoveryTime;
+    Instant m_now {};
+    bool m_membersKnown = false;
+    std::uint64_t m_storeRevision = 1;
+    std::vector<MemberRecord> m_records;
+    std::vector<std::unique_ptr<Host>> m_hosts;
+    std::vector<StoreWatch> m_storeWatches;
+    std::map<CallId, std::pair<std::size_t, std::uint64_t>> m_readers;
+    std::uint64_t m_lastReader = 0;
+    std::uint64_t m_order = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+};
+
+} // namespace pimentopoint
