Let the soak say which calls were not served after recovery, and when it stood still itself

Change: each call that is not served after recovery, or not sent, is an event, and so is a turn of the soak's own loop of over 20 ms: its targets, store and proxies then stood still as well.

--- a/soak/Scenario.cpp
+++ b/soak/Scenario.cpp
@@ -25,6 +25,8 @@
     /// Longer than the 2 s within which updates must reach all hosts here and than the 5 s between probes of lost members.
     constexpr Duration recoveryTime = milliseconds(6500);
     constexpr std::size_t recoveryCalls = 100;
+    /// Time after which a turn of the event loop, which takes 2 ms, is recorded as a pause of the stand-ins.
+    constexpr Duration maxLoopTime = milliseconds(20);
 
 } // namespace
 
@@ -180,7 +182,11 @@
         if (m_clock.now() >= end)
             return condition();
         m_store.tick();
+        Instant before = m_clock.now();
         m_context.run_for(milliseconds(2));
+        Duration elapsed = m_clock.now() - before;
+        if (elapsed > maxLoopTime)
+            recordEvent("targets, store and proxies stood still for " + std::to_string(std::chrono::duration_cast<milliseconds>(elapsed).count()) + " ms");
     }
     return true;
 }
@@ -194,11 +200,19 @@
 {
     Host& host = *m_hosts[m_random.below(m_hosts.size())];
     auto idle = std::find_if(host.callers.begin(), host.callers.end(), [](const auto& caller) { return !caller->busy(); });
-    if (idle == host.callers.end())
+    if (idle == host.callers.end()) {
+        if (m_checksRecovery)
+            recordEvent("no request sent: every caller of the host waits for an answer");
         return;
+    }
     std::string id = "q" + std::to_string(m_seed) + "-" + std::to_string(++m_lastId);
     m_checker.recordRequest(id);
-    (*idle)->sendRequest((fanOut ? "/fan/" : "/once/") + id, id, fanOut, callerTimeout, [this](const CallerObservation& observation) { m_checker.recordAnswer(observation); });
+    (*idle)->sendRequest((fanOut ? "/fan/" : "/once/") + id, id, fanOut, callerTimeout, [this](const CallerObservation& observation) {
+        m_checker.recordAnswer(observation);
+        constexpr unsigned ok = 200;
+        if (m_checksRecovery && observation.status != ok)
+            recordEvent("request " + observation.id + " was not served: status " + std::to_string(observation.status) + " after " + std::to_string(std::chrono::duration_cast<milliseconds>(observation.latency).count()) + " ms");
+    });
 }
 
 void Scenario::generateLoad()
@@ -345,6 +359,7 @@
     m_loadActive = false;
     runFor(callerTimeout + milliseconds(200));
     std::size_t before = m_checker.served();
+    m_checksRecovery = true;
     for (std::size_t i = 0; i < recoveryCalls; ++i) {
         sendRequest(i % 2);
         runFor(callInterval);
--- a/soak/Scenario.h
+++ b/soak/Scenario.h
@@ -78,6 +78,7 @@
     std::uint64_t m_lastId = 0;
     bool m_loadActive = false;
     bool m_faultsActive = false;
+    bool m_checksRecovery = false; ///< Whether each call that is not served is recorded.
     std::vector<std::string> m_events;
     Instant m_start;
     std::uint64_t m_seed;
