Let each member observe which data centres it reaches, instead of spreading a record per lost member

Cause: when a data centre is cut off or a host is cut off alone, each member on one side suspects each on the other, and the records of hundreds of members spread at the begin of the partition and again at its end: 191 s and 4.8 KB a second and host for a region of 750 hosts, where 11 s and 3 KB are asked. A host that was cut off alone declared all others dead. And no host knew soon that its whole data centre was cut off.

Ruled out: fewer transmissions of each record (at 11 s, 322 records of 90 bytes each are 2.6 KB a second and host even if each arrives just once).

Change: a data centre from which nothing was received, and of which several members don't reply to probes within the acknowledgement timeout, is unreachable until the next datagram from it (DataCentreContacts). A failed probe suspects its subject only if others of its data centre were heard since, or there are none. A late tick shifts pending probes, so that a paused process doubts nobody.

--- a/Pimentopoint/src/Net/MemberSocket.cpp
+++ b/Pimentopoint/src/Net/MemberSocket.cpp
@@ -59,6 +59,10 @@
         boost::system::error_code ignored;
         m_socket.send_to(asio::buffer(datagram.bytes), { asio::ip::make_address_v4(datagram.destination.address()), datagram.destination.port() }, 0, ignored);
     }
+    for (const DataCentreName& dataCentre : actions.unreachableDataCentres)
+        Log::event(Severity::Warning, "data-centre-unreachable", { { "unreachable", dataCentre }, { "cause", "none of its members replies" } });
+    for (const DataCentreName& dataCentre : actions.reachableDataCentres)
+        Log::event(Severity::Info, "data-centre-reachable", { { "reachable", dataCentre } });
     if (!actions.changedMembers.empty())
         m_hooks.changed();
     if (actions.requestMembersFrom)
--- a/Pimentopoint/src/Peer/ControlPlane.cpp
+++ b/Pimentopoint/src/Peer/ControlPlane.cpp
@@ -256,6 +256,10 @@
         std::lock_guard announce(m_announceMutex);
         m_hooks.membersChanged(members());
     }
+    for (const DataCentreName& dataCentre : actions.unreachableDataCentres)
+        Log::event(Severity::Warning, "data-centre-unreachable", { { "unreachable", dataCentre }, { "cause", "none of its members replies" } });
+    for (const DataCentreName& dataCentre : actions.reachableDataCentres)
+        Log::event(Severity::Info, "data-centre-reachable", { { "reachable", dataCentre } });
     for (const MemberRecord& record : actions.changedMembers)
         Log::event(Severity::Info, "member-changed", { { "member", record.name() }, { "state", stateText(record.state()) }, { "incarnation", record.incarnation() } });
     if (actions.documentConflict && m_clock.now() >= m_nextConflictLog) {
--- a/Pimentopoint/src/Peer/Membership.cpp
+++ b/Pimentopoint/src/Peer/Membership.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <set>
 
 namespace pimentopoint {
 
@@ -15,6 +16,10 @@
     constexpr unsigned leaveFanout = 16;
     /// Members probed at once by revalidate().
     constexpr unsigned revalidationProbes = 3;
+    /// Members of a data centre that are probed when one of them does not acknowledge.
+    constexpr unsigned contactProbes = 3;
+    /// Time between two ticks after which this process is assumed to have been paused; longer than a busy host needs.
+    constexpr Duration maxTickInterval = std::chrono::milliseconds(250);
     /// Checks of all entries for timeouts, which are multiples of the protocol period.
     constexpr int expiryChecksPerPeriod = 4;
     /// One of this many member lists is requested from any data centre, the others from the local one.
@@ -37,10 +42,18 @@
     std::vector<MemberRecord> records;
     records.reserve(m_entries.size());
     for (const auto& [name, entry] : m_entries)
-        records.push_back(entry.record);
+        records.push_back(observed(entry.record));
     return records;
 }
 
+MemberRecord Membership::observed(const MemberRecord& record) const
+{
+    MemberRecord result = record;
+    if (result.state() == MemberState::Alive && !m_contacts.isReachable(result.dataCentre()))
+        result.setState(MemberState::Suspect);
+    return result;
+}
+
 const MemberRecord* Membership::member(const MemberName& name) const
 {
     auto found = m_entries.find(name);
@@ -90,11 +103,11 @@
     actions.datagrams.push_back({ to, encodeDatagram(Probe { sequence, gossip() }) });
 }
 
-std::vector<MemberRecord> Membership::randomUsableMembers(unsigned count, const MemberName& except)
+std::vector<MemberRecord> Membership::randomUsableMembers(unsigned count, const MemberName& except, const std::function<bool(const MemberRecord&)>& isEligible)
 {
     std::vector<MemberRecord> candidates;
     for (const auto& [name, entry] : m_entries) {
-        if (entry.record.usable() && name != except)
+        if (entry.record.usable() && name != except && (!isEligible || isEligible(entry.record)))
             candidates.push_back(entry.record);
     }
     std::vector<MemberRecord> chosen;
@@ -110,15 +123,20 @@
 MembershipActions Membership::tick(Instant now)
 {
     MembershipActions actions;
+    if (m_lastTick && now - *m_lastTick > maxTickInterval)
+        handlePause(now - *m_lastTick);
+    m_lastTick = now;
     checkPendingProbe(now, actions);
+    checkRelayedProbes(now, actions);
+    checkContacts(now, actions);
     if (now >= m_nextExpiry) {
         m_nextExpiry = now + m_timing.protocolPeriod / expiryChecksPerPeriod;
         expireEntries(now, actions);
     }
-    std::erase_if(m_relayedProbes, [&](const auto& relay) { return now - relay.second.receivedAt > m_timing.protocolPeriod; });
     if (now >= m_nextProbe) {
         m_nextProbe = now + m_timing.protocolPeriod;
         probeNext(now, actions);
+        probeUnreachable(actions);
     }
     if (now >= m_nextSeedProbe) {
         m_nextSeedProbe = now + m_timing.seedInterval;
@@ -159,27 +177,144 @@
         m_pendingProbe.reset();
         return;
     }
+    const MemberRecord& subject = found->second.record;
     if (!m_pendingProbe->indirectSent && waited >= m_timing.ackTimeout) {
         m_pendingProbe->indirectSent = true;
-        for (const MemberRecord& intermediary : randomUsableMembers(m_timing.indirectProbes, m_pendingProbe->subject)) {
-            IndirectProbe request { m_pendingProbe->sequence, found->second.record.udp(), gossip() };
-            actions.datagrams.push_back({ intermediary.udp(), encodeDatagram(request) });
-        }
+        sendIndirectProbes(subject, actions);
+        doubtSilent(subject.dataCentre(), m_pendingProbe->sentAt, now, actions);
     }
     if (waited >= m_timing.protocolPeriod) {
+        bool suspect = subject.state() == MemberState::Alive && failsAlone(subject, m_pendingProbe->sentAt);
         m_pendingProbe.reset();
-        if (found->second.record.state() == MemberState::Alive)
+        if (suspect)
             setState(found->second, MemberState::Suspect, now, actions);
     }
 }
 
+void Membership::sendIndirectProbes(const MemberRecord& subject, MembershipActions& actions)
+{
+    // One of the helpers is a neighbour, which learns at the same time whether it reaches the subject's data centre itself.
+    std::vector<MemberRecord> helpers = randomUsableMembers(1, subject.name(), [this](const MemberRecord& member) { return member.dataCentre() == m_self.dataCentre(); });
+    for (MemberRecord& helper : randomUsableMembers(m_timing.indirectProbes, subject.name(), [this](const MemberRecord& member) { return m_contacts.isReachable(member.dataCentre()); })) {
+        if (helpers.size() < m_timing.indirectProbes && (helpers.empty() || helper.name() != helpers.front().name()))
+            helpers.push_back(std::move(helper));
+    }
+    for (const MemberRecord& helper : helpers) {
+        IndirectProbe request { m_pendingProbe->sequence, subject.udp(), gossip() };
+        actions.datagrams.push_back({ helper.udp(), encodeDatagram(request) });
+    }
+}
+
+bool Membership::failsAlone(const MemberRecord& subject, Instant sentAt) const
+{
+    // What was received before the acknowledgement was due does not show that the data centre still replied then.
+    if (m_contacts.heardSince(subject.dataCentre(), sentAt + m_timing.ackTimeout))
+        return true;
+    return std::none_of(m_entries.begin(), m_entries.end(), [&](const auto& entry) {
+        const MemberRecord& record = entry.second.record;
+        return record.usable() && record.dataCentre() == subject.dataCentre() && record.name() != subject.name();
+    });
+}
+
+void Membership::handlePause(Duration pause)
+{
+    // Replies that arrived meanwhile have not been received yet.
+    if (m_pendingProbe)
+        m_pendingProbe->sentAt += pause;
+    if (m_contactProbe)
+        m_contactProbe->sentAt += pause;
+    for (auto& [sequence, relay] : m_relayedProbes)
+        relay.receivedAt += pause;
+    m_contacts.handlePause(pause);
+}
+
+void Membership::checkRelayedProbes(Instant now, MembershipActions& actions)
+{
+    for (auto& [sequence, relay] : m_relayedProbes) {
+        if (!relay.dataCentre || now - relay.receivedAt < m_timing.ackTimeout)
+            continue;
+        doubtSilent(*relay.dataCentre, relay.receivedAt, now, actions);
+        relay.dataCentre.reset();
+    }
+    std::erase_if(m_relayedProbes, [&](const auto& relay) { return now - relay.second.receivedAt > m_timing.protocolPeriod; });
+}
+
+void Membership::doubtSilent(const DataCentreName& dataCentre, Instant sentAt, Instant now, MembershipActions& actions)
+{
+    if (!doubt(dataCentre, sentAt, now, actions))
+        return;
+    // A partition often separates from several data centres at once.
+    std::set<DataCentreName> others;
+    for (const auto& [name, entry] : m_entries)
+        others.insert(entry.record.dataCentre());
+    for (const DataCentreName& other : others)
+        doubt(other, now - m_timing.ackTimeout, now, actions);
+    // Neighbours that probe the data centre on request learn without a probe of their own whether they reach it.
+    auto subjects = randomUsableMembers(1, m_self.name(), [&](const MemberRecord& each) { return each.dataCentre() == dataCentre; });
+    for (const MemberRecord& neighbour : randomUsableMembers(contactProbes, subjects.front().name(), [this](const MemberRecord& each) { return each.dataCentre() == m_self.dataCentre(); }))
+        actions.datagrams.push_back({ neighbour.udp(), encodeDatagram(IndirectProbe { ++m_sequence, subjects.front().udp(), gossip() }) });
+}
+
+bool Membership::doubt(const DataCentreName& dataCentre, Instant since, Instant now, MembershipActions& actions)
+{
+    std::vector<MemberRecord> probed = randomUsableMembers(contactProbes, m_self.name(), [&](const MemberRecord& each) { return each.dataCentre() == dataCentre; });
+    if (probed.empty() || !m_contacts.doubt(dataCentre, since, now))
+        return false;
+    for (const MemberRecord& member : probed)
+        sendProbe(member.udp(), ++m_sequence, actions);
+    return true;
+}
+
+void Membership::checkContacts(Instant now, MembershipActions& actions)
+{
+    if (m_contactProbe && now - m_contactProbe->sentAt >= m_timing.ackTimeout) {
+        ContactProbe probe = *std::exchange(m_contactProbe, std::nullopt);
+        doubtSilent(probe.dataCentre, probe.sentAt, now, actions);
+    }
+    if (!m_contactProbe && now >= m_nextContactProbe && !m_contacts.heardElsewhereSince(m_self.dataCentre(), now - m_timing.protocolPeriod)) {
+        m_nextContactProbe = now + m_timing.protocolPeriod;
+        for (const MemberRecord& member : randomUsableMembers(1, m_self.name(), [this](const MemberRecord& each) { return each.dataCentre() != m_self.dataCentre() && m_contacts.isReachable(each.dataCentre()); })) {
+            m_contactProbe = ContactProbe { member.dataCentre(), now };
+            sendProbe(member.udp(), ++m_sequence, actions);
+        }
+    }
+    for (const DataCentreName& dataCentre : m_contacts.takeUnreachable(m_timing.ackTimeout, now)) {
+        actions.unreachableDataCentres.push_back(dataCentre);
+        reportMembersOf(dataCentre, actions);
+    }
+}
+
+void Membership::reportMembersOf(const DataCentreName& dataCentre, MembershipActions& actions) const
+{
+    for (const auto& [name, entry] : m_entries) {
+        if (entry.record.dataCentre() == dataCentre)
+            actions.changedMembers.push_back(observed(entry.record));
+    }
+}
+
+void Membership::probeUnreachable(MembershipActions& actions)
+{
+    for (const DataCentreName& dataCentre : m_contacts.unreachable()) {
+        for (const MemberRecord& member : randomUsableMembers(1, m_self.name(), [&](const MemberRecord& each) { return each.dataCentre() == dataCentre; }))
+            sendProbe(member.udp(), ++m_sequence, actions);
+    }
+}
+
 void Membership::expireEntries(Instant now, MembershipActions& actions)
 {
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         MemberState state = entry->second.record.state();
         Duration age = now - entry->second.changedAt;
-        if (state == MemberState::Suspect && age >= m_timing.protocolPeriod * m_timing.suspicionPeriods)
+        auto unreachableSince = m_contacts.unreachableSince(entry->second.record.dataCentre());
+        bool expiredSuspicion = !unreachableSince && state == MemberState::Suspect && age >= m_timing.protocolPeriod * m_timing.suspicionPeriods;
+        if (expiredSuspicion) {
             setState(entry->second, MemberState::Dead, now, actions);
+        } else if (unreachableSince && entry->second.record.usable() && now - *unreachableSince >= m_timing.unreachableRetention) {
+            // Every member concludes this for itself.
+            entry->second.record.setState(MemberState::Dead);
+            entry->second.changedAt = now;
+            actions.changedMembers.push_back(entry->second.record);
+        }
         bool expired = (state == MemberState::Dead || state == MemberState::Leaving) && age >= m_timing.deadRetention;
         entry = expired ? m_entries.erase(entry) : std::next(entry);
     }
@@ -270,11 +405,18 @@
         m_gossipQueue.recordDuplicate(record);
 }
 
-void Membership::applyGossip(const Gossip& gossip, Instant now, MembershipActions& actions)
+void Membership::applyGossip(const Gossip& gossip, const Endpoint& from, Instant now, MembershipActions& actions)
 {
     if (gossip.sender.name() == m_self.name())
         return handleOwnRecord(gossip.sender, actions);
     bool hadNoMembers = m_entries.empty();
+    bool isDirect = from == gossip.sender.udp();
+    if (isDirect && m_contacts.recordHeard(gossip.sender.dataCentre(), now)) {
+        actions.reachableDataCentres.push_back(gossip.sender.dataCentre());
+        reportMembersOf(gossip.sender.dataCentre(), actions);
+        // A probe sent before that says nothing about its subject.
+        m_pendingProbe.reset();
+    }
     if (applyRecord(gossip.sender, now, actions))
         queueForGossip(gossip.sender);
     for (const MemberRecord& record : gossip.records)
@@ -296,13 +438,13 @@
         handleProbe(frame.decode<Probe>(), from, now, actions);
         break;
     case MessageType::ProbeAck:
-        handleAck(frame.decode<ProbeAck>(), now, actions);
+        handleAck(frame.decode<ProbeAck>(), from, now, actions);
         break;
     case MessageType::IndirectProbe:
         handleIndirectProbe(frame.decode<IndirectProbe>(), from, now, actions);
         break;
     case MessageType::Notice:
-        applyGossip(frame.decode<Notice>().gossip, now, actions);
+        applyGossip(frame.decode<Notice>().gossip, from, now, actions);
         break;
     default:
         throw MalformedMessage(MalformedMessage::Cause::UnknownType, "message type is not allowed over UDP");
@@ -312,7 +454,7 @@
 
 void Membership::handleProbe(const Probe& probe, const Endpoint& from, Instant now, MembershipActions& actions)
 {
-    applyGossip(probe.gossip, now, actions);
+    applyGossip(probe.gossip, from, now, actions);
     // A sender that is recorded here as suspected or dead receives that record with the reply and refutes it with a higher
     // revision.
     auto known = m_entries.find(probe.gossip.sender.name());
@@ -321,9 +463,9 @@
     actions.datagrams.push_back({ from, encodeDatagram(ProbeAck { probe.sequence, gossip() }) });
 }
 
-void Membership::handleAck(const ProbeAck& ack, Instant now, MembershipActions& actions)
+void Membership::handleAck(const ProbeAck& ack, const Endpoint& from, Instant now, MembershipActions& actions)
 {
-    applyGossip(ack.gossip, now, actions);
+    applyGossip(ack.gossip, from, now, actions);
     auto relay = m_relayedProbes.find(ack.sequence);
     if (relay != m_relayedProbes.end()) {
         ProbeAck forwarded { relay->second.originalSequence, ack.gossip };
@@ -339,9 +481,11 @@
 
 void Membership::handleIndirectProbe(const IndirectProbe& request, const Endpoint& from, Instant now, MembershipActions& actions)
 {
-    applyGossip(request.gossip, now, actions);
+    applyGossip(request.gossip, from, now, actions);
     std::uint64_t sequence = ++m_sequence;
-    m_relayedProbes[sequence] = { request.sequence, from, now };
+    auto subject = std::find_if(m_entries.begin(), m_entries.end(), [&](const auto& entry) { return entry.second.record.udp() == request.subject; });
+    auto dataCentre = subject == m_entries.end() ? std::nullopt : std::optional(subject->second.record.dataCentre());
+    m_relayedProbes[sequence] = { request.sequence, from, now, dataCentre };
     sendProbe(request.subject, sequence, actions);
 }
 
--- a/test/MembershipFleet.cpp
+++ b/test/MembershipFleet.cpp
@@ -66,7 +66,7 @@
         m_elapsed += tickInterval;
         m_clock.advance(tickInterval);
         for (std::size_t i = 0; i < m_hosts.size(); ++i) {
-            if (m_hosts[i].running && m_elapsed >= m_hosts[i].startsAt)
+            if (m_hosts[i].running && !m_hosts[i].paused && m_elapsed >= m_hosts[i].startsAt)
                 perform(i, m_hosts[i].membership->tick(m_clock.now()));
         }
     }
@@ -81,14 +81,33 @@
         std::size_t to = hostAt(datagram.destination);
         bool started = m_elapsed >= m_hosts[to].startsAt;
         if (started && m_hosts[to].running && !m_isLost(host, to))
-            perform(to, m_hosts[to].membership->handleDatagram(datagram.bytes, endpointOf(host), m_clock.now()));
+            receive(to, host, datagram.bytes);
     }
 }
 
+void MembershipFleet::receive(std::size_t host, std::size_t from, const std::string& bytes)
+{
+    if (m_hosts[host].paused)
+        m_hosts[host].pending.emplace_back(from, bytes);
+    else
+        perform(host, m_hosts[host].membership->handleDatagram(bytes, endpointOf(from), m_clock.now()));
+}
+
+void MembershipFleet::pause(std::size_t host, Duration duration)
+{
+    m_hosts[host].paused = true;
+    step(duration);
+    m_hosts[host].paused = false;
+    // After a pause, timers may expire before the datagrams that arrived meanwhile are read.
+    perform(host, m_hosts[host].membership->tick(m_clock.now()));
+    for (const auto& [from, bytes] : std::exchange(m_hosts[host].pending, {}))
+        receive(host, from, bytes);
+}
+
 void MembershipFleet::exchangeLists(std::size_t from, std::size_t to)
 {
     const Membership& other = *m_hosts[to].membership;
-    bool reachable = m_hosts[to].running && !m_isLost(from, to) && !m_isLost(to, from);
+    bool reachable = m_hosts[to].running && !m_hosts[to].paused && !m_isLost(from, to) && !m_isLost(to, from);
     if (!reachable || other.digest() == m_hosts[from].membership->digest())
         return;
     MembersReply list { other.members() };
--- a/test/MembershipFleet.h
+++ b/test/MembershipFleet.h
@@ -7,6 +7,8 @@
 #include <Pimentopoint/Peer>
 #include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace pimentopoint {
@@ -30,6 +32,8 @@
     void restart(std::size_t host);
     /// Stops \a host without notice.
     void stop(std::size_t host) { m_hosts[host].running = false; }
+    /// Runs the others while \a host is paused: it receives what was sent to it meanwhile after its next tick.
+    void pause(std::size_t host, Duration duration);
     /// Sets which messages are lost, by sender and receiver.
     void setLoss(std::function<bool(std::size_t from, std::size_t to)> isLost) { m_isLost = std::move(isLost); }
 
@@ -53,6 +57,8 @@
         std::unique_ptr<Membership> membership;
         Duration startsAt { 0 };
         bool running = true;
+        bool paused = false;
+        std::vector<std::pair<std::size_t, std::string>> pending {}; ///< Sender and bytes of the datagrams that arrived during a pause.
     };
 
     Endpoint endpointOf(std::size_t host) const;
@@ -60,6 +66,7 @@
     std::unique_ptr<Membership> createMembership(std::size_t host);
     void perform(std::size_t host, const MembershipActions& actions);
     void exchangeLists(std::size_t from, std::size_t to);
+    void receive(std::size_t host, std::size_t from, const std::string& bytes);
 
     Options m_options;
     ManualClock m_clock;
