Log each failed read of updates and the age of the configuration

Why: from news-source-lost to news-source-regained, 5.4 s later, the log had no line, so it could not tell a host that tries silent sources one after another from one that is refused, or from one that takes old knowledge for new.

Change: news-read-failed names the source, the cause, how long the read took and how old the host's knowledge is, at most ten lines a second; routes-in-force says how old it was before; call lines state it, and the gauge pimentopoint_news_age_microseconds and the counter pimentopoint_news_reads_failed_total show it as metrics.

--- a/Pimentopoint/src/Net/UpdateFeed.cpp
+++ b/Pimentopoint/src/Net/UpdateFeed.cpp
@@ -15,6 +15,11 @@
     constexpr unsigned unavailable = 503;
     constexpr unsigned badRequest = 400;
     constexpr Duration retryAfter = std::chrono::seconds(1);
+    constexpr Duration second = std::chrono::seconds(1);
+    /// Limit on the log lines about failed reads per second; the search for a source tries a few of them a second.
+    constexpr unsigned maxFailureLinesPerSecond = 10;
+
+    std::string sourceText(const UpdateSource::Choice& source) { return source.host ? source.host->text() : "store"; }
 
     std::optional<Duration> ageOf(const HttpReader::Result& response)
     {
@@ -50,19 +55,43 @@
 
 void UpdateFeed::perform(UpdateActions actions)
 {
+    for (const UpdateActions::FailedRead& each : actions.failedReads)
+        logFailure(each);
     if (actions.sourceChange) {
         bool lost = actions.sourceChange->lost;
         Log::event(lost ? Severity::Warning : Severity::Info, lost ? "news-source-lost" : "news-source-regained",
-            { { "source", m_latestSource.host ? m_latestSource.host->text() : "store" }, { "cause", actions.sourceChange->cause }, { "revision", m_relay.revision() } });
+            { { "source", sourceText(m_latestSource) }, { "cause", actions.sourceChange->cause }, { "revision", m_relay.revision() } });
     }
-    if (actions.updated)
+    if (actions.updated) {
+        m_previousAge = actions.previousAge;
         m_hooks.updates(actions.items);
+    }
     for (const UpdateActions::Reply& each : actions.replies)
         reply(each);
     for (const UpdateActions::Read& each : actions.reads)
         startRead(each);
 }
 
+void UpdateFeed::logFailure(const UpdateActions::FailedRead& failure)
+{
+    m_metrics.add("pimentopoint_news_reads_failed_total", failure.source.host ? "source=\"host\"" : "source=\"store\"");
+    if (m_clock.now() >= m_nextFailureLines) {
+        m_nextFailureLines = m_clock.now() + second;
+        m_failureLinesLeft = maxFailureLinesPerSecond;
+        if (m_failureLinesDropped)
+            Log::event(Severity::Warning, "news-lines-left-out", { { "count", std::exchange(m_failureLinesDropped, 0) }, { "cause", "limit on logged reads per second" } });
+    }
+    if (!m_failureLinesLeft) {
+        ++m_failureLinesDropped;
+        return;
+    }
+    --m_failureLinesLeft;
+    auto microseconds = [](Duration duration) { return static_cast<std::uint64_t>(duration.count()); };
+    Log::event(Severity::Info, "news-read-failed",
+        { { "source", sourceText(failure.source) }, { "cause", failure.cause }, { "tookMicroseconds", microseconds(failure.elapsed) },
+            { "ageMicroseconds", failure.age ? std::to_string(failure.age->count()) : "unknown" } });
+}
+
 HttpReader& UpdateFeed::reader(const UpdateSource::Choice& source)
 {
     auto& reader = m_readers[source.host.value_or(Endpoint())];
--- a/Pimentopoint/src/Net/UpdateFeed.h
+++ b/Pimentopoint/src/Net/UpdateFeed.h
@@ -35,9 +35,14 @@
     void tick();
     /// \returns whether all items have been read once
     bool complete() const { return m_relay.complete(); }
+    /// \returns the time since the store confirmed what this host knows; nothing if it has not confirmed anything yet
+    std::optional<Duration> age() const { return m_relay.age(m_clock.now()); }
+    /// \returns the age just before the latest update
+    std::optional<Duration> previousAge() const { return m_previousAge; }
 
 private:
     void perform(UpdateActions actions);
+    void logFailure(const UpdateActions::FailedRead& failure);
     void startRead(const UpdateActions::Read& read);
     void handleResponse(const UpdateSource::Choice& source, const StoreRead& read, const HttpReader::Result& response);
     void handleRequest(CallId call, const CallerRequest& request);
@@ -53,7 +58,11 @@
     UpdateRelay m_relay;
     std::map<Endpoint, std::shared_ptr<HttpReader>> m_readers;
     UpdateSource::Choice m_latestSource; ///< Source of the latest result, for the log.
+    std::optional<Duration> m_previousAge;
     Instant m_nextTimeoutCheck {};
+    Instant m_nextFailureLines {}; ///< Time at which \c m_failureLinesLeft is restored.
+    unsigned m_failureLinesLeft = 0; ///< Lines about failed reads that may still be logged in this second.
+    std::uint64_t m_failureLinesDropped = 0;
     CallerServer m_server;
 };
 
--- a/Pimentopoint/src/Serve/UpdateRelay.cpp
+++ b/Pimentopoint/src/Serve/UpdateRelay.cpp
@@ -63,6 +63,7 @@
         read->wait = scaled(m_maxUpdateDelay, hostWatchFraction);
         read->timeout = read->wait + scaled(m_maxUpdateDelay, hostMarginFraction);
     }
+    m_readStartedAt = now;
     actions.reads.push_back({ choice, *read });
 }
 
@@ -85,15 +86,18 @@
         actions.sourceChange = { !wasLost, wasLost ? "a read succeeded" : cause };
 }
 
-void UpdateRelay::handleResult(const UpdateSource::Choice& source, StoreResult result, std::optional<Duration> age, Instant now, UpdateActions& actions)
+void UpdateRelay::handleResult(const UpdateSource::Choice& source, StoreResult result, std::optional<Duration> statedAge, Instant now, UpdateActions& actions)
 {
     bool failed = result.kind == StoreResult::Kind::Failed;
-    if (failed)
+    if (failed) {
         m_source.recordFailure(source, now);
-    else
+        actions.failedReads.push_back({ source, result.cause, now - m_readStartedAt, age(now) });
+    } else {
         m_source.recordSuccess(source);
+    }
+    actions.previousAge = age(now);
     if (!failed && result.kind != StoreResult::Kind::HistoryLost)
-        recordConfirmation(source, age, now);
+        recordConfirmation(source, statedAge, now);
     recordSourceState(source, failed, result.cause, now, actions);
     StoreUpdate update = m_follower.handleResult(std::move(result), now);
     std::vector<StoreItem> items = m_mirror.apply(update, m_follower.revision(), now);
--- a/Pimentopoint/src/Serve/UpdateRelay.h
+++ b/Pimentopoint/src/Serve/UpdateRelay.h
@@ -26,9 +26,17 @@
         bool lost = false; ///< Whether the source failed; otherwise a read succeeded again.
         std::string cause;
     };
+    struct FailedRead {
+        UpdateSource::Choice source;
+        std::string cause;
+        Duration elapsed { 0 }; ///< Time since the read started.
+        std::optional<Duration> age; ///< Age of what this host knows; nothing if the store has not confirmed anything yet.
+    };
     std::vector<Read> reads;
+    std::vector<FailedRead> failedReads;
     std::vector<Reply> replies;
     std::vector<StoreItem> items; ///< Items that changed, removals included.
+    std::optional<Duration> previousAge; ///< Age of what this host knew before the items; nothing if it knew nothing.
     bool updated = false; ///< Whether items changed or a full listing ended.
     std::optional<SourceChange> sourceChange;
 };
@@ -49,8 +57,8 @@
     /// Starts the read that is due, if any, and replies to readers whose wait is over.
     void tick(Instant now, UpdateActions& actions);
     /// \brief Handles the result of a read.
-    /// \param age age that the source stated; nothing if it is unknown. The store's results have none.
-    void handleResult(const UpdateSource::Choice& source, StoreResult result, std::optional<Duration> age, Instant now, UpdateActions& actions);
+    /// \param statedAge age that the source stated; nothing if it is unknown. The store's results have none.
+    void handleResult(const UpdateSource::Choice& source, StoreResult result, std::optional<Duration> statedAge, Instant now, UpdateActions& actions);
     /// Handles a read of another host.
     void handleRead(CallId reader, const StoreRead& read, Instant now, UpdateActions& actions);
     void handleReaderDisconnected(CallId reader) { m_waiting.erase(reader); }
@@ -58,6 +66,8 @@
     /// \returns whether all items have been read once
     bool complete() const { return m_follower.complete(); }
     std::uint64_t revision() const { return m_follower.revision(); }
+    /// \returns the time since the store confirmed what this host knows; nothing if it has not confirmed anything yet
+    std::optional<Duration> age(Instant now) const { return m_confirmedAt ? std::optional(now - *m_confirmedAt) : std::nullopt; }
     /// \returns whether updates that this host relays are recent enough
     bool isFresh(Instant now) const;
 
@@ -79,6 +89,7 @@
     UpdateSource m_source;
     StoreMirror m_mirror;
     std::optional<Instant> m_startedAt; ///< Time of the first tick.
+    Instant m_readStartedAt {}; ///< Start of the latest read.
     std::optional<Instant> m_confirmedAt; ///< Latest time at which the store is known to have confirmed what this host knows.
     std::optional<Instant> m_sourceLostAt; ///< Time of the first failure since the last successful read from the store or a host that is not below this one.
     Instant m_nextCleanup {};
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <limits>
 #include <sstream>
 
 namespace pimentopoint {
@@ -76,6 +77,12 @@
         return record;
     }
 
+    /// \returns \a age in microseconds; the largest value if it is unknown
+    std::uint64_t inMicroseconds(std::optional<Duration> age)
+    {
+        return age ? static_cast<std::uint64_t>(age->count()) : std::numeric_limits<std::uint64_t>::max();
+    }
+
     std::uint64_t makeSeed(const HostSettings& settings, std::string_view purpose)
     {
         return hashOf(settings.name.value() + "/" + std::string(purpose)) ^ newIncarnation().value();
@@ -230,6 +237,7 @@
         m_hostServer->enforceTimeouts(now);
     m_targetConnections.closeExpired(now);
     m_targetPool.removeExpired(now);
+    m_metrics.setGauge("pimentopoint_news_age_microseconds", "", inMicroseconds(m_updateFeed.age()));
     updateHosts();
     reloadSettings("settings file changed");
     Log::flush();
@@ -348,7 +356,7 @@
     const auto& activeRouting = m_engine.routing();
     if (activeRouting && contents.version <= activeRouting->version())
         return;
-    Log::event(Severity::Info, "routes-in-force", { { "version", contents.version }, { "routes", std::uint64_t(contents.routes.size()) } });
+    Log::event(Severity::Info, "routes-in-force", { { "version", contents.version }, { "routes", std::uint64_t(contents.routes.size()) }, { "previousAgeMicroseconds", inMicroseconds(m_updateFeed.previousAge()) } });
     m_engine.setRouting(std::make_shared<const RoutingTable>(std::move(contents)));
 }
 
@@ -379,7 +387,7 @@
     }
     --m_callLinesLeft;
     Log::event(Severity::Info, "call",
-        { { "id", record.request.id }, { "route", record.route }, { "version", record.version }, { "status", std::uint64_t(record.status) }, { "cause", record.reason },
+        { { "id", record.request.id }, { "route", record.route }, { "version", record.version }, { "ageMicroseconds", inMicroseconds(m_updateFeed.age()) }, { "status", std::uint64_t(record.status) }, { "cause", record.reason },
             { "tookMicroseconds", static_cast<std::uint64_t>(record.elapsed.count()) }, { "missingParts", std::uint64_t(record.missingShards) },
             { "extraSends", std::uint64_t(record.extraAttempts) }, { "lastTarget", record.lastTarget }, { "aggregator", record.aggregator }, { "forHost", std::uint64_t(record.request.delegation.has_value()) }, { "lateAfterMicroseconds", static_cast<std::uint64_t>(record.stragglerThreshold.count()) } });
 }
