Bound the time until a change is known by its age, not by the number of silent hosts

What callers saw: 404 for routes of a configuration that the store had acknowledged more than times.news ago, on hosts that reached the store (docs/incidents/stale-configuration.md).

Cause: a host waited for one source at a time, each for a whole watch and its margin (0.32 of times.news), and nothing bounded the sum. Three silent hosts in a row took 4.8 s of 5. Class: a deadline that is shared by a series of tries, of which each gets a timeout of its own.

Ruled out: a delegation to a host with another version (it refuses); the store (it replied to others); a shorter timeout alone: the sum still grows with the number of silent hosts, as at 200 and 1,000 hosts in the test.

Change: the age of what a host knows decides. A late read is no longer waited for, but its reply is still used. A source that has not replied yet gets a read that it answers at once, so that a silent one costs 0.05 of the delay instead of 0.32. A host whose knowledge reaches 0.55 to 0.68 of the delay, by its rank, reads the store itself beside its source. Watches end by the age, and a confirmation of the store is passed on at once, so that ages stay below that while nothing fails. An age is now an upper bound: replies say for how long they were held, and a page that may be stale confirms nothing. A host that was paused itself doesn't blame its source. A relay that is about to become recent lets its readers wait for a moment instead of sending them away. UpdateSource::choose() returns nothing if all sources are avoided; its tests skip these moments, and each source is still tried.

--- a/Pimentopoint/src/Core/Ids.h
+++ b/Pimentopoint/src/Core/Ids.h
@@ -23,6 +23,8 @@
 PP_STRONG_TYPE(AttemptNumber, std::uint64_t);
 /// Number of a caller's request, unique within a process.
 PP_STRONG_TYPE(CallId, std::uint64_t);
+/// Identifies a read of updates within one process.
+PP_STRONG_TYPE(ReadNumber, std::uint64_t);
 /// Name of a data centre.
 PP_STRONG_TYPE(DataCentreName, std::string);
 /// Name of one process of the system, unique among the running processes.
--- a/Pimentopoint/src/Net/HostHeaders.h
+++ b/Pimentopoint/src/Net/HostHeaders.h
@@ -17,5 +17,7 @@
 
 /// In the reply to a read of updates: the time since the store confirmed what the reply states.
 inline constexpr std::string_view age = "Pimentopoint-Age";
+/// In the reply to a read of updates: the time for which the read was held before the reply.
+inline constexpr std::string_view held = "Pimentopoint-Held";
 
 } // namespace pimentopoint::host_headers
--- a/Pimentopoint/src/Net/UpdateFeed.cpp
+++ b/Pimentopoint/src/Net/UpdateFeed.cpp
@@ -21,12 +21,19 @@
 
     std::string sourceText(const UpdateSource::Choice& source) { return source.host ? source.host->text() : "store"; }
 
-    std::optional<Duration> ageOf(const HttpReader::Result& response)
+    std::optional<Duration> durationHeader(const HttpReader::Result& response, std::string_view name)
     {
-        auto microseconds = parseNumber(headerValue(response.headers, host_headers::age));
+        auto microseconds = parseNumber(headerValue(response.headers, name));
         return microseconds ? std::optional(Duration(static_cast<Duration::rep>(*microseconds))) : std::nullopt;
     }
 
+    std::optional<ReplyAge> ageOf(const HttpReader::Result& response)
+    {
+        auto age = durationHeader(response, host_headers::age);
+        // Hosts of earlier versions don't state for how long they held a read.
+        return age ? std::optional(ReplyAge { *age, durationHeader(response, host_headers::held).value_or(Duration(0)) }) : std::nullopt;
+    }
+
 } // namespace
 
 UpdateFeed::UpdateFeed(boost::asio::io_context& context, const Clock& clock, Metrics& metrics, const MemberRecord& self, Options options, Hooks hooks)
@@ -60,7 +67,7 @@
     if (actions.sourceChange) {
         bool lost = actions.sourceChange->lost;
         Log::event(lost ? Severity::Warning : Severity::Info, lost ? "news-source-lost" : "news-source-regained",
-            { { "source", sourceText(m_latestSource) }, { "cause", actions.sourceChange->cause }, { "revision", m_relay.revision() } });
+            { { "source", sourceText(actions.sourceChange->source) }, { "cause", actions.sourceChange->cause }, { "revision", m_relay.revision() } });
     }
     if (actions.updated) {
         m_previousAge = actions.previousAge;
@@ -92,32 +99,39 @@
             { "ageMicroseconds", failure.age ? std::to_string(failure.age->count()) : "unknown" } });
 }
 
-HttpReader& UpdateFeed::reader(const UpdateSource::Choice& source)
+std::shared_ptr<HttpReader> UpdateFeed::takeReader(const UpdateSource::Choice& source)
 {
-    auto& reader = m_readers[source.host.value_or(Endpoint())];
-    if (!reader)
-        reader = std::make_shared<HttpReader>(m_context, source.host.value_or(m_options.store));
-    return *reader;
+    // A connection on which a reply is still due carries no other read, so another one is opened.
+    auto idle = m_idleReaders.find(source.host.value_or(Endpoint()));
+    if (idle == m_idleReaders.end())
+        return std::make_shared<HttpReader>(m_context, source.host.value_or(m_options.store));
+    std::shared_ptr<HttpReader> reader = std::move(idle->second);
+    m_idleReaders.erase(idle);
+    return reader;
 }
 
 void UpdateFeed::startRead(const UpdateActions::Read& each)
 {
     const UpdateSource::Choice& source = each.source;
     m_metrics.add("pimentopoint_news_reads_total", source.host ? "source=\"host\"" : "source=\"store\"");
-    reader(source).get(source.host ? updatePath(each.read) : m_hooks.storePath(each.read), each.read.timeout,
-        [this, source, read = each.read](const HttpReader::Result& response) { handleResponse(source, read, response); });
+    auto& reader = m_activeReaders[each.number] = takeReader(source);
+    reader->get(source.host ? updatePath(each.read) : m_hooks.storePath(each.read), each.read.timeout, [this, read = each](const HttpReader::Result& response) {
+        auto active = m_activeReaders.extract(read.number);
+        if (response.status)
+            m_idleReaders[read.source.host.value_or(Endpoint())] = std::move(active.mapped());
+        handleResponse(read, response);
+    });
 }
 
-void UpdateFeed::handleResponse(const UpdateSource::Choice& source, const StoreRead& read, const HttpReader::Result& response)
+void UpdateFeed::handleResponse(const UpdateActions::Read& read, const HttpReader::Result& response)
 {
     StoreResult result;
     if (!response.status)
         result.cause = response.cause;
     else
-        result = source.host ? decodeUpdates(response.status, response.body) : m_hooks.storeResult(read, response.status, response.body);
-    m_latestSource = source;
+        result = read.source.host ? decodeUpdates(response.status, response.body) : m_hooks.storeResult(read.read, response.status, response.body);
     UpdateActions actions;
-    m_relay.handleResult(source, std::move(result), ageOf(response), m_clock.now(), actions);
+    m_relay.handleResult(read.number, std::move(result), ageOf(response), m_clock.now(), actions);
     perform(std::move(actions));
 }
 
@@ -148,7 +162,8 @@
     } else {
         answer.status = statusOk;
         answer.body = encodeUpdates(reply.result);
-        answer.headers.emplace_back(host_headers::age, std::to_string(reply.age.count()));
+        answer.headers.emplace_back(host_headers::age, std::to_string(reply.age.age.count()));
+        answer.headers.emplace_back(host_headers::held, std::to_string(reply.age.held.count()));
     }
     m_server.answer(reply.reader, answer);
 }
--- a/Pimentopoint/src/Net/UpdateFeed.h
+++ b/Pimentopoint/src/Net/UpdateFeed.h
@@ -44,10 +44,10 @@
     void perform(UpdateActions actions);
     void logFailure(const UpdateActions::FailedRead& failure);
     void startRead(const UpdateActions::Read& read);
-    void handleResponse(const UpdateSource::Choice& source, const StoreRead& read, const HttpReader::Result& response);
+    void handleResponse(const UpdateActions::Read& read, const HttpReader::Result& response);
     void handleRequest(CallId call, const CallerRequest& request);
     void reply(const UpdateActions::Reply& reply);
-    HttpReader& reader(const UpdateSource::Choice& source);
+    std::shared_ptr<HttpReader> takeReader(const UpdateSource::Choice& source);
 
     boost::asio::io_context& m_context;
     const Clock& m_clock;
@@ -56,8 +56,8 @@
     Hooks m_hooks;
     HeaderNames m_headerNames; ///< All names are empty: these reads need no headers of the platform.
     UpdateRelay m_relay;
-    std::map<Endpoint, std::shared_ptr<HttpReader>> m_readers;
-    UpdateSource::Choice m_latestSource; ///< Source of the latest result, for the log.
+    std::map<ReadNumber, std::shared_ptr<HttpReader>> m_activeReaders;
+    std::map<Endpoint, std::shared_ptr<HttpReader>> m_idleReaders; ///< Readers without a request, by source; the empty endpoint is the store.
     std::optional<Duration> m_previousAge;
     Instant m_nextTimeoutCheck {};
     Instant m_nextFailureLines {}; ///< Time at which \c m_failureLinesLeft is restored.
--- a/Pimentopoint/src/Serve/StoreFollower.cpp
+++ b/Pimentopoint/src/Serve/StoreFollower.cpp
@@ -88,12 +88,25 @@
     m_failures = 0;
     m_nextReadAt = now;
     if (result.kind == StoreResult::Kind::HistoryLost) {
-        m_mayBeStale = false;
-        restartListing();
+        handleHistoryLost();
         return {};
     }
     if (result.kind == StoreResult::Kind::Items)
         return applyPage(result);
+    StoreUpdate update = applyChanges(result);
+    if (!update.changes.empty())
+        m_nextReadAt = now + m_timing.batchInterval;
+    return update;
+}
+
+void StoreFollower::handleHistoryLost()
+{
+    m_mayBeStale = false;
+    restartListing();
+}
+
+StoreUpdate StoreFollower::applyChanges(StoreResult& result)
+{
     StoreUpdate update;
     std::stable_sort(result.items.begin(), result.items.end(), [](const StoreItem& a, const StoreItem& b) { return a.revision < b.revision; });
     for (StoreItem& item : result.items) {
@@ -101,8 +114,6 @@
             update.changes.push_back(std::move(item));
     }
     m_revision = std::max(m_revision, result.revision);
-    if (!update.changes.empty())
-        m_nextReadAt = now + m_timing.batchInterval;
     return update;
 }
 
--- a/Pimentopoint/src/Serve/StoreFollower.h
+++ b/Pimentopoint/src/Serve/StoreFollower.h
@@ -78,6 +78,14 @@
     /// \returns the read to start at \a now, or nothing while one is outstanding or none is due
     std::optional<StoreRead> beginRead(Instant now);
     StoreUpdate handleResult(StoreResult result, Instant now);
+    /// Ends the outstanding read without a result, so that the next one may start at once.
+    void abandonRead() { m_readOutstanding = false; }
+    /// Handles the result of a watch that was started besides the outstanding read.
+    StoreUpdate handleAdditionalChanges(StoreResult result) { return applyChanges(result); }
+    /// \returns whether a listing is in progress; otherwise the store is watched
+    bool listing() const { return m_listing; }
+    /// Starts a new listing, which must be current, because changes since the known revision are lost.
+    void handleHistoryLost();
     /// \returns when the next read is due; nothing while one is outstanding
     std::optional<Instant> nextReadAt() const;
 
@@ -88,6 +96,7 @@
 private:
     void restartListing();
     StoreUpdate applyPage(StoreResult& result);
+    StoreUpdate applyChanges(StoreResult& result);
     /// \returns whether \a result is a listing older than the known revision or than the first page of the current listing
     bool isOutdated(const StoreResult& result) const;
 
--- a/Pimentopoint/src/Serve/UpdateRelay.cpp
+++ b/Pimentopoint/src/Serve/UpdateRelay.cpp
@@ -1,38 +1,29 @@
 #include "UpdateRelay.h"
 
+#include <algorithm>
+
 namespace pimentopoint {
 
 namespace {
 
-    /// Fractions of the maximum update delay: a watch waits for updates for the watch fraction, and its reply may take the margin fraction longer.
-    /// When a host becomes unresponsive, its readers lose a watch at that host, its margin and the time of one read of the store.
-    constexpr double storeWatchFraction = 0.45;
-    constexpr double storeMarginFraction = 0.17;
-    constexpr double batchFraction = 0.1; ///< Interval between two watches after an update; limits the calls to the store, each of which has a cost.
-    constexpr double hostWatchFraction = 0.2;
-    constexpr double hostMarginFraction = 0.12;
-    /// Age up to which updates are relayed: a watch of the store and one of a host, their network delays and a margin.
-    constexpr double freshFraction = 0.75;
-    /// Time without a source after which readers are refused: enough to read from another one.
-    constexpr double lostSourceFraction = 0.05;
     /// Time after the start at which the store is watched although no other host of the data centre is known: member lists arrive within it.
     constexpr Duration memberDiscoveryTime = std::chrono::milliseconds(400);
     constexpr Duration cleanupInterval = std::chrono::seconds(5);
 
-    StoreTiming timing(Duration maxUpdateDelay)
+    StoreTiming followerTiming(const UpdateTiming& timing)
     {
-        StoreTiming timing;
-        timing.watchWait = scaled(maxUpdateDelay, storeWatchFraction);
-        timing.watchMargin = scaled(maxUpdateDelay, storeMarginFraction);
-        timing.batchInterval = scaled(maxUpdateDelay, batchFraction);
-        return timing;
+        StoreTiming followerTiming;
+        followerTiming.batchInterval = timing.batchInterval();
+        return followerTiming;
     }
 
+    Endpoint endpointOf(const UpdateSource::Choice& source) { return source.host.value_or(Endpoint()); }
+
 } // namespace
 
 UpdateRelay::UpdateRelay(const MemberRecord& self, Duration maxUpdateDelay, std::uint64_t seed)
-    : m_maxUpdateDelay(maxUpdateDelay)
-    , m_follower("", timing(maxUpdateDelay), seed)
+    : m_timing(maxUpdateDelay)
+    , m_follower("", followerTiming(m_timing), seed)
     , m_source(self)
 {
 }
@@ -41,7 +32,12 @@
 {
     if (!m_startedAt)
         m_startedAt = now;
+    if (m_tickedAt && now - *m_tickedAt >= m_timing.pauseTime())
+        handlePause(now);
+    m_tickedAt = now;
+    giveUpLateReads(now, actions);
     startRead(now, actions);
+    startDirectRead(now, actions);
     replyToWaiting(now, actions);
     if (now >= m_nextCleanup) {
         m_nextCleanup = now + cleanupInterval;
@@ -49,92 +45,232 @@
     }
 }
 
+void UpdateRelay::handlePause(Instant now)
+{
+    for (auto& [number, read] : m_reads) {
+        if (now >= read.lateAt)
+            read.failed = true;
+    }
+    if (m_currentRead && m_reads.at(*m_currentRead).failed) {
+        m_currentRead.reset();
+        m_follower.abandonRead();
+        m_provenSource.reset();
+    }
+}
+
+void UpdateRelay::giveUpLateReads(Instant now, UpdateActions& actions)
+{
+    for (auto& [number, read] : m_reads) {
+        if (read.failed || now < read.lateAt)
+            continue;
+        read.failed = true;
+        recordFailure(read, "no reply in time", now, actions);
+        if (m_currentRead == number) {
+            m_currentRead.reset();
+            m_follower.abandonRead();
+            m_nextAttemptAt = now;
+        }
+    }
+}
+
+void UpdateRelay::start(const UpdateSource::Choice& source, StoreRead read, Duration lateness, Instant now, UpdateActions& actions)
+{
+    m_latestNumber = ReadNumber(m_latestNumber.value() + 1);
+    read.timeout = read.wait + m_timing.replyTimeout();
+    m_reads[m_latestNumber] = { source, read, now, now + read.wait + lateness };
+    actions.reads.push_back({ m_latestNumber, source, read });
+}
+
 void UpdateRelay::startRead(Instant now, UpdateActions& actions)
 {
+    if (m_currentRead || now < m_nextAttemptAt)
+        return;
     // Otherwise every host of a fleet that starts would watch the store until it knows the others.
     bool discovering = m_startedAt && now - *m_startedAt < memberDiscoveryTime && !m_source.knowsLocalMembers();
     if (m_follower.complete() && discovering)
         return;
+    auto choice = m_source.choose(now);
+    if (!choice)
+        return;
     auto read = m_follower.beginRead(now);
     if (!read)
         return;
-    UpdateSource::Choice choice = m_source.choose(now);
-    if (choice.host && read->kind == StoreRead::Kind::Watch) {
-        read->wait = scaled(m_maxUpdateDelay, hostWatchFraction);
-        read->timeout = read->wait + scaled(m_maxUpdateDelay, hostMarginFraction);
+    bool store = !choice->host;
+    // A source that has not replied to the read before only has to show that it replies at all.
+    bool proven = m_provenSource == endpointOf(*choice);
+    if (read->kind == StoreRead::Kind::Watch) {
+        read->wait = store ? m_timing.storeWatchWait(age(now).value_or(Duration::max())) : (proven ? m_timing.hostWatchWait() : Duration(0));
+        start(*choice, *read, m_timing.lateness(store, proven), now, actions);
+    } else {
+        read->wait = Duration(0);
+        start(*choice, *read, m_timing.pageLateness(store), now, actions);
     }
-    m_readStartedAt = now;
-    actions.reads.push_back({ choice, *read });
+    m_currentRead = m_latestNumber;
 }
 
-void UpdateRelay::recordConfirmation(const UpdateSource::Choice& source, std::optional<Duration> age, Instant now)
+bool UpdateRelay::isReadingStore() const
 {
-    // A host that states no age relays only what is recent enough, but no more is known.
-    Instant confirmedAt = source.host ? now - age.value_or(scaled(m_maxUpdateDelay, freshFraction)) : now;
-    m_confirmedAt = std::max(m_confirmedAt.value_or(confirmedAt), confirmedAt);
+    return std::any_of(m_reads.begin(), m_reads.end(), [](const auto& each) { return !each.second.source.host && !each.second.failed; });
+}
+
+void UpdateRelay::startDirectRead(Instant now, UpdateActions& actions)
+{
+    // A host that has just started with a page of unknown age finds a source before it reads the store.
+    Instant confirmedAt = m_confirmedAt.value_or(*m_startedAt);
+    bool old = m_follower.complete() && !m_follower.listing() && now - confirmedAt >= m_timing.directReadAge(m_source.rankFraction());
+    if (!old) {
+        m_oldSince.reset();
+        return;
+    }
+    if (!m_oldSince)
+        m_oldSince = now;
+    if (now - *m_oldSince < m_timing.directReadDelay() || isReadingStore() || m_source.isAvoided(UpdateSource::Choice(), now))
+        return;
+    StoreRead read;
+    read.kind = StoreRead::Kind::Watch;
+    read.afterRevision = m_follower.revision();
+    start({}, read, m_timing.lateness(true, false), now, actions);
 }
 
-void UpdateRelay::recordSourceState(const UpdateSource::Choice& source, bool failed, const std::string& cause, Instant now, UpdateActions& actions)
+void UpdateRelay::recordFailure(const OutstandingRead& read, const std::string& cause, Instant now, UpdateActions& actions)
 {
-    bool wasLost = m_sourceLostAt.has_value();
-    if (failed && !wasLost)
+    m_source.recordFailure(read.source, now);
+    actions.failedReads.push_back({ read.source, cause, now - read.startedAt, age(now) });
+    ++m_failures;
+    if (!read.source.host && !m_storeLostAt)
+        m_storeLostAt = now;
+    if (!m_sourceLostAt) {
         m_sourceLostAt = now;
+        actions.sourceChange = { true, read.source, cause };
+    }
+}
+
+void UpdateRelay::recordConfirmation(const OutstandingRead& read, std::optional<ReplyAge> replyAge, Instant now)
+{
+    Instant confirmedAt = now;
+    if (read.source.host) {
+        // The relay held the read from its arrival, which was not before the start of the read. A relay that states no age relays
+        // only what is recent enough, but no more is known.
+        confirmedAt = replyAge ? read.startedAt + replyAge->held - replyAge->age : now - m_timing.freshAge();
+    } else if (now >= read.lateAt) {
+        confirmedAt = read.startedAt;
+    }
+    m_confirmedAt = std::max(m_confirmedAt.value_or(confirmedAt), confirmedAt);
+}
+
+void UpdateRelay::recordSuccess(const OutstandingRead& read, const StoreResult& result, std::optional<ReplyAge> replyAge, Instant now, UpdateActions& actions)
+{
+    m_source.recordSuccess(read.source);
+    m_failures = 0;
+    m_nextAttemptAt = now;
     // Two hosts that read from each other would both relay what is outdated.
-    if (!failed && !source.isBelow)
+    if (!read.source.isBelow) {
+        m_storeLostAt.reset();
+        if (m_sourceLostAt)
+            actions.sourceChange = { false, read.source, "a read succeeded" };
         m_sourceLostAt.reset();
-    if (wasLost != m_sourceLostAt.has_value())
-        actions.sourceChange = { !wasLost, wasLost ? "a read succeeded" : cause };
+    }
+    bool stale = !read.source.host && read.read.mayBeStale;
+    if (result.kind != StoreResult::Kind::HistoryLost && !stale)
+        recordConfirmation(read, replyAge, now);
 }
 
-void UpdateRelay::handleResult(const UpdateSource::Choice& source, StoreResult result, std::optional<Duration> statedAge, Instant now, UpdateActions& actions)
+StoreUpdate UpdateRelay::applyToFollower(ReadNumber number, const OutstandingRead& read, StoreResult result, Instant now)
 {
-    bool failed = result.kind == StoreResult::Kind::Failed;
-    if (failed) {
-        m_source.recordFailure(source, now);
-        actions.failedReads.push_back({ source, result.cause, now - m_readStartedAt, age(now) });
+    if (m_currentRead == number) {
+        m_currentRead.reset();
+        m_provenSource = endpointOf(read.source);
+        return m_follower.handleResult(std::move(result), now);
+    }
+    switch (result.kind) {
+    case StoreResult::Kind::Changes:
+        return m_follower.listing() ? StoreUpdate() : m_follower.handleAdditionalChanges(std::move(result));
+    case StoreResult::Kind::Items: {
+        // A late first page is as good as that of the read that replaced it.
+        bool wanted = m_follower.listing() && m_currentRead && read.read.afterKey.empty() && m_reads.at(*m_currentRead).read.afterKey.empty();
+        if (!wanted)
+            return {};
+        m_reads.at(*m_currentRead).failed = true;
+        m_currentRead.reset();
+        return m_follower.handleResult(std::move(result), now);
+    }
+    case StoreResult::Kind::HistoryLost:
+        if (!read.source.host && !m_follower.listing()) {
+            m_follower.handleHistoryLost();
+            if (m_currentRead)
+                m_reads.at(*m_currentRead).failed = true;
+            m_currentRead.reset();
+            m_follower.abandonRead();
+        }
+        return {};
+    case StoreResult::Kind::Failed:
+        return {};
+    }
+    return {};
+}
+
+void UpdateRelay::handleResult(ReadNumber number, StoreResult result, std::optional<ReplyAge> replyAge, Instant now, UpdateActions& actions)
+{
+    auto found = m_reads.find(number);
+    if (found == m_reads.end())
+        return;
+    OutstandingRead read = found->second;
+    m_reads.erase(found);
+    if (result.kind == StoreResult::Kind::Failed) {
+        if (!read.failed)
+            recordFailure(read, result.cause, now, actions);
+        if (m_currentRead == number) {
+            m_currentRead.reset();
+            m_follower.abandonRead();
+            m_nextAttemptAt = now + m_timing.retryDelay(m_failures);
+        }
     } else {
-        m_source.recordSuccess(source);
+        actions.previousAge = age(now);
+        recordSuccess(read, result, replyAge, now, actions);
+        StoreUpdate update = applyToFollower(number, read, std::move(result), now);
+        std::vector<StoreItem> items = m_mirror.apply(update, m_follower.revision(), now);
+        actions.updated = actions.updated || !items.empty() || update.allKeys;
+        actions.items.insert(actions.items.end(), std::make_move_iterator(items.begin()), std::make_move_iterator(items.end()));
     }
-    actions.previousAge = age(now);
-    if (!failed && result.kind != StoreResult::Kind::HistoryLost)
-        recordConfirmation(source, statedAge, now);
-    recordSourceState(source, failed, result.cause, now, actions);
-    StoreUpdate update = m_follower.handleResult(std::move(result), now);
-    std::vector<StoreItem> items = m_mirror.apply(update, m_follower.revision(), now);
-    actions.updated = actions.updated || !items.empty() || update.allKeys;
-    actions.items.insert(actions.items.end(), std::make_move_iterator(items.begin()), std::make_move_iterator(items.end()));
     replyToWaiting(now, actions);
     startRead(now, actions);
 }
 
+bool UpdateRelay::hasLostStore(Instant now) const
+{
+    return m_storeLostAt && now - *m_storeLostAt >= m_timing.lostStoreTime();
+}
+
 bool UpdateRelay::isFresh(Instant now) const
 {
-    bool sourceLost = m_sourceLostAt && now - *m_sourceLostAt >= scaled(m_maxUpdateDelay, lostSourceFraction);
-    return m_confirmedAt && now - *m_confirmedAt < scaled(m_maxUpdateDelay, freshFraction) && !sourceLost;
+    return m_confirmedAt && now - *m_confirmedAt < m_timing.freshAge() && !hasLostStore(now);
 }
 
 void UpdateRelay::handleRead(CallId reader, const StoreRead& read, Instant now, UpdateActions& actions)
 {
+    WaitingRead waiting { read, now, m_confirmedAt };
     // A full read gets a reply even if the known state may be outdated: the reader has no state at all and can't reach the store.
-    if (!m_mirror.complete() || (read.kind == StoreRead::Kind::Watch && !isFresh(now)))
+    bool relayable = read.kind == StoreRead::Kind::Page || isFresh(now);
+    if (!m_mirror.complete() || (!relayable && hasLostStore(now)))
         refuse(reader, actions);
-    else if (m_mirror.hasUpdates(read))
-        reply(reader, read, now, actions);
+    else if (relayable && (m_mirror.hasUpdates(read) || read.wait <= Duration(0)))
+        reply(reader, waiting, now, actions);
     else
-        m_waiting[reader] = { read, now + read.wait };
+        m_waiting[reader] = waiting;
 }
 
-void UpdateRelay::reply(CallId reader, const StoreRead& read, Instant now, UpdateActions& actions) const
+void UpdateRelay::reply(CallId reader, const WaitingRead& waiting, Instant now, UpdateActions& actions) const
 {
-    Duration age = m_confirmedAt ? now - *m_confirmedAt : m_maxUpdateDelay;
-    actions.replies.push_back({ reader, m_mirror.answer(read), age });
+    // What was never confirmed may be of any age.
+    ReplyAge replyAge { age(now).value_or(std::chrono::hours(1)), now - waiting.arrivedAt };
+    actions.replies.push_back({ reader, m_mirror.answer(waiting.read), replyAge });
 }
 
 void UpdateRelay::refuse(CallId reader, UpdateActions& actions) const
 {
     StoreResult refusal;
     refusal.cause = "the updates known here may be outdated";
-    actions.replies.push_back({ reader, refusal });
+    actions.replies.push_back({ reader, refusal, {} });
 }
 
 void UpdateRelay::replyToWaiting(Instant now, UpdateActions& actions)
@@ -142,13 +278,16 @@
     bool fresh = isFresh(now);
     for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
         auto& [reader, each] = *waiting;
-        bool due = m_mirror.hasUpdates(each.read) || now >= each.expiresAt;
-        if (!due && fresh) {
+        bool confirmed = m_confirmedAt && each.confirmedAt && *m_confirmedAt - *each.confirmedAt >= m_timing.confirmationStep();
+        bool due = confirmed || m_mirror.hasUpdates(each.read) || now - each.arrivedAt >= each.read.wait;
+        // A host that is about to read the store would otherwise lose all its readers.
+        bool mayBecomeFresh = !fresh && !hasLostStore(now) && now - each.arrivedAt < m_timing.refusalDelay();
+        if ((!due && fresh) || mayBecomeFresh) {
             ++waiting;
             continue;
         }
         if (fresh)
-            reply(reader, each.read, now, actions);
+            reply(reader, each, now, actions);
         else
             refuse(reader, actions);
         waiting = m_waiting.erase(waiting);
--- a/Pimentopoint/src/Serve/UpdateRelay.h
+++ b/Pimentopoint/src/Serve/UpdateRelay.h
@@ -2,6 +2,7 @@
 
 #include "StoreMirror.h"
 #include "UpdateSource.h"
+#include "UpdateTiming.h"
 
 #include <map>
 #include <optional>
@@ -10,9 +11,16 @@
 
 namespace pimentopoint {
 
+/// How old a relay's reply says that its content is.
+struct ReplyAge {
+    Duration age { 0 }; ///< Time between the store's confirmation of the content and the reply.
+    Duration held { 0 }; ///< Time between the arrival of the read and the reply.
+};
+
 /// Actions that the owner of an UpdateRelay carries out after an event.
 struct UpdateActions {
     struct Read {
+        ReadNumber number;
         UpdateSource::Choice source;
         StoreRead read;
     };
@@ -20,10 +28,11 @@
     struct Reply {
         CallId reader;
         StoreResult result;
-        Duration age { 0 }; ///< Time since the store confirmed what the result states.
+        ReplyAge age;
     };
     struct SourceChange {
         bool lost = false; ///< Whether the source failed; otherwise a read succeeded again.
+        UpdateSource::Choice source;
         std::string cause;
     };
     struct FailedRead {
@@ -46,19 +55,21 @@
 /// \brief Decides from where a host reads updates of the platform's store, and what it replies to hosts that read from it.
 /// \details In each data centre one host reads the store, and the others form a tree below it, so the number of calls to the store
 /// depends on the number of data centres and not on that of hosts. What a host knows has an age: the time since the store confirmed
-/// it, summed over the hosts that relayed it. A host that relays refuses reads once its knowledge is too old or its source has
-/// been lost for a moment; its readers then turn to the next host, or to the store. Receives events with the time and returns actions.
+/// it, summed over the hosts that relayed it. A read that is late is no longer waited for, though its reply is still used, and the
+/// next source is tried. Whatever the state of that search, a host whose knowledge reaches UpdateTiming::directReadAge reads the store
+/// itself, so the time until a change is known does not depend on the number of unresponsive hosts. A host that relays refuses reads once
+/// its knowledge is too old or the store failed to reply to it. Receives events with the time and returns actions.
 class UpdateRelay {
 public:
     /// \param maxUpdateDelay time within which updates must be known on every host
     UpdateRelay(const MemberRecord& self, Duration maxUpdateDelay, std::uint64_t seed);
 
     void setMembers(const std::vector<MemberRecord>& members) { m_source.setMembers(members); }
-    /// Starts the read that is due, if any, and replies to readers whose wait is over.
+    /// Gives up late reads, starts those that are due, and replies to readers whose wait is over.
     void tick(Instant now, UpdateActions& actions);
     /// \brief Handles the result of a read.
-    /// \param statedAge age that the source stated; nothing if it is unknown. The store's results have none.
-    void handleResult(const UpdateSource::Choice& source, StoreResult result, std::optional<Duration> statedAge, Instant now, UpdateActions& actions);
+    /// \param replyAge age that the source stated; nothing if it is unknown. The store's results have none.
+    void handleResult(ReadNumber number, StoreResult result, std::optional<ReplyAge> replyAge, Instant now, UpdateActions& actions);
     /// Handles a read of another host.
     void handleRead(CallId reader, const StoreRead& read, Instant now, UpdateActions& actions);
     void handleReaderDisconnected(CallId reader) { m_waiting.erase(reader); }
@@ -74,24 +85,50 @@
 private:
     struct WaitingRead {
         StoreRead read;
-        Instant expiresAt;
+        Instant arrivedAt;
+        std::optional<Instant> confirmedAt; ///< Value of \c m_confirmedAt when the read arrived.
+    };
+    struct OutstandingRead {
+        UpdateSource::Choice source;
+        StoreRead read;
+        Instant startedAt;
+        Instant lateAt;
+        bool failed = false; ///< Whether it was late or superseded, so that its failure is not recorded again.
     };
 
+    /// Gives up the reads in progress after a pause of this process, for which their sources are not to blame.
+    void handlePause(Instant now);
+    void giveUpLateReads(Instant now, UpdateActions& actions);
     void startRead(Instant now, UpdateActions& actions);
-    void recordConfirmation(const UpdateSource::Choice& source, std::optional<Duration> age, Instant now);
-    void recordSourceState(const UpdateSource::Choice& source, bool failed, const std::string& cause, Instant now, UpdateActions& actions);
+    void startDirectRead(Instant now, UpdateActions& actions);
+    void start(const UpdateSource::Choice& source, StoreRead read, Duration lateness, Instant now, UpdateActions& actions);
+    void recordFailure(const OutstandingRead& read, const std::string& cause, Instant now, UpdateActions& actions);
+    void recordSuccess(const OutstandingRead& read, const StoreResult& result, std::optional<ReplyAge> replyAge, Instant now, UpdateActions& actions);
+    void recordConfirmation(const OutstandingRead& read, std::optional<ReplyAge> replyAge, Instant now);
+    StoreUpdate applyToFollower(ReadNumber number, const OutstandingRead& read, StoreResult result, Instant now);
+    bool isReadingStore() const;
+    /// \returns whether a read of the store failed some time ago and no source has replied since
+    bool hasLostStore(Instant now) const;
     void replyToWaiting(Instant now, UpdateActions& actions);
-    void reply(CallId reader, const StoreRead& read, Instant now, UpdateActions& actions) const;
+    void reply(CallId reader, const WaitingRead& waiting, Instant now, UpdateActions& actions) const;
     void refuse(CallId reader, UpdateActions& actions) const;
 
-    Duration m_maxUpdateDelay;
+    UpdateTiming m_timing;
     StoreFollower m_follower;
     UpdateSource m_source;
     StoreMirror m_mirror;
     std::optional<Instant> m_startedAt; ///< Time of the first tick.
-    Instant m_readStartedAt {}; ///< Start of the latest read.
+    std::optional<Instant> m_tickedAt; ///< Time of the latest tick.
+    std::map<ReadNumber, OutstandingRead> m_reads; ///< Reads without a result, late ones included.
+    std::optional<ReadNumber> m_currentRead; ///< Read for whose result the follower waits.
+    ReadNumber m_latestNumber { 0 };
+    std::optional<Endpoint> m_provenSource; ///< Source of the latest successful read; the empty endpoint is the store.
+    unsigned m_failures = 0; ///< Number of failed reads since the latest success.
+    Instant m_nextAttemptAt {}; ///< Time before which no read is started after a failure.
     std::optional<Instant> m_confirmedAt; ///< Latest time at which the store is known to have confirmed what this host knows.
+    std::optional<Instant> m_oldSince; ///< Time at which the age reached UpdateTiming::directReadAge.
     std::optional<Instant> m_sourceLostAt; ///< Time of the first failure since the last successful read from the store or a host that is not below this one.
+    std::optional<Instant> m_storeLostAt; ///< Time of the first failed read of the store since then.
     Instant m_nextCleanup {};
     std::map<CallId, WaitingRead> m_waiting;
 };
--- a/Pimentopoint/src/Serve/UpdateSource.cpp
+++ b/Pimentopoint/src/Serve/UpdateSource.cpp
@@ -43,12 +43,12 @@
     std::sort(ranked.begin(), ranked.end(), [](const MemberRecord* a, const MemberRecord* b) { return rankOf(*a) < rankOf(*b); });
     m_above.clear();
     m_fallbacks.clear();
-    m_knowsLocalMembers = false;
+    m_localCount = 1;
     std::vector<Choice> below;
     std::vector<Choice> remote;
     for (const MemberRecord* member : ranked) {
         bool isLocal = member->dataCentre() == m_self.dataCentre();
-        m_knowsLocalMembers = m_knowsLocalMembers || isLocal;
+        m_localCount += isLocal;
         if (!isLocal)
             remote.push_back({ member->tcp(), false });
         else if (rankOf(*member) < rankOf(m_self))
@@ -79,14 +79,14 @@
     return above[(above.size() - 1) / maxReaders];
 }
 
-UpdateSource::Choice UpdateSource::choose(Instant now) const
+std::optional<UpdateSource::Choice> UpdateSource::choose(Instant now) const
 {
     if (auto host = parent(now))
-        return { host };
-    if (!isAvoided({}, now))
-        return {};
+        return Choice { host };
+    if (!isAvoided(Endpoint(), now))
+        return Choice();
     auto fallback = std::find_if(m_fallbacks.begin(), m_fallbacks.end(), [&](const Choice& choice) { return !isAvoided(*choice.host, now); });
-    return fallback == m_fallbacks.end() ? Choice() : *fallback;
+    return fallback == m_fallbacks.end() ? std::nullopt : std::optional(*fallback);
 }
 
 void UpdateSource::recordFailure(const Choice& choice, Instant now)
--- a/Pimentopoint/src/Serve/UpdateSource.h
+++ b/Pimentopoint/src/Serve/UpdateSource.h
@@ -26,11 +26,16 @@
     explicit UpdateSource(MemberRecord self);
 
     void setMembers(const std::vector<MemberRecord>& members);
-    Choice choose(Instant now) const;
+    /// \returns the best source that is not avoided, or nothing if all are
+    std::optional<Choice> choose(Instant now) const;
+    /// \returns whether \a choice failed recently
+    bool isAvoided(const Choice& choice, Instant now) const { return isAvoided(choice.host.value_or(Endpoint()), now); }
     void recordFailure(const Choice& choice, Instant now);
     void recordSuccess(const Choice& choice);
+    /// \returns this host's rank among the hosts of its data centre, from 0 for the first one to 1 for the last
+    double rankFraction() const { return m_localCount > 1 ? static_cast<double>(m_above.size()) / static_cast<double>(m_localCount - 1) : 0; }
     /// \returns whether other usable hosts of this data centre are known
-    bool knowsLocalMembers() const { return m_knowsLocalMembers; }
+    bool knowsLocalMembers() const { return m_localCount > 1; }
 
 private:
     /// \returns the host above this one in the tree of hosts that are not avoided; nothing if this host is the first one
@@ -46,7 +51,7 @@
     MemberRecord m_self;
     std::vector<Endpoint> m_above; ///< Usable hosts of this data centre that rank before this one, in the order of their ranks.
     std::vector<Choice> m_fallbacks; ///< Hosts that are tried if the store fails.
-    bool m_knowsLocalMembers = false;
+    std::size_t m_localCount = 1; ///< Number of usable hosts of this data centre, this one included.
     std::map<Endpoint, Failure> m_failures;
 };
 
--- a/test/UpdateDeadlineTest.cpp
+++ b/test/UpdateDeadlineTest.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration discoveryTime = 300ms;
+/// Most reads by one host that follows the store for twice the maximum update delay, one for each batch of changes.
+constexpr std::size_t readsOfOneHost = 21;
 
 /// \returns \a fraction of \a hosts, drawn at random
 std::set<std::size_t> drawHosts(std::size_t hosts, double fraction, Random& random)
@@ -22,6 +24,13 @@
     return { all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count) };
 }
 
+/// Sizes of a data centre, and the numbers of seeds tried with them.
+struct Size {
+    std::size_t hosts;
+    std::uint64_t seeds;
+};
+constexpr Size sizes[] = { { 8, 5 }, { 20, 5 }, { 61, 5 }, { 200, 5 }, { 1000, 1 } };
+
 /// Starts a fleet and lets it run for a random time, so that faults come at any phase of its reads.
 UpdateFleet runningFleet(std::size_t hosts, Random& random)
 {
@@ -53,14 +62,17 @@
 
 TEST_CASE("A change is known to every running host in time, however many of the others are silent")
 {
-    for (std::size_t hosts : { 8, 20, 61, 200 }) {
+    for (auto [hosts, seeds] : sizes) {
         for (double fraction : { 0.2, 0.6, 0.9 }) {
-            for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
                 INFO(hosts << " hosts, " << fraction << " of them silent, seed " << seed);
                 Random random(seed);
                 UpdateFleet fleet = runningFleet(hosts, random);
                 fleet.silent = drawHosts(hosts, fraction, random);
+                fleet.storeReads = 0;
                 checkChangesArriveInTime(fleet, 2 * UpdateFleet::maxUpdateDelay);
+                // One host follows the store; each other one reads it at most once in 0.55 of the maximum update delay.
+                CHECK(fleet.storeReads <= readsOfOneHost + 3 * (hosts - fleet.silent.size()));
             }
         }
     }
@@ -68,14 +80,16 @@
 
 TEST_CASE("A change is known in time to hosts that reach the store but no other host")
 {
-    for (std::size_t hosts : { 8, 20, 61, 200 }) {
+    for (auto [hosts, seeds] : sizes) {
         for (double fraction : { 0.2, 0.6, 1.0 }) {
-            for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
                 INFO(hosts << " hosts, " << fraction << " of them isolated, seed " << seed);
                 Random random(seed);
                 UpdateFleet fleet = runningFleet(hosts, random);
                 fleet.isolated = drawHosts(hosts, fraction, random);
+                fleet.storeReads = 0;
                 checkChangesArriveInTime(fleet, 2 * UpdateFleet::maxUpdateDelay);
+                CHECK(fleet.storeReads <= readsOfOneHost * (1 + fleet.isolated.size()));
             }
         }
     }
@@ -83,8 +97,8 @@
 
 TEST_CASE("A change is known in time to hosts that the store refuses while others restart")
 {
-    for (std::size_t hosts : { 8, 20, 61, 200 }) {
-        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    for (auto [hosts, seeds] : sizes) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             INFO(hosts << " hosts, seed " << seed);
             Random random(seed);
             UpdateFleet fleet = runningFleet(hosts, random);
--- a/test/UpdateFleet.h
+++ b/test/UpdateFleet.h
@@ -36,7 +36,7 @@
             records.push_back(record);
         }
         for (std::size_t i = 0; i < hosts; ++i)
-            m_hosts.push_back(std::make_unique<Host>(Host { UpdateRelay(records[i], maxUpdateDelay, i + 1), {}, 0, 0 }));
+            m_hosts.push_back(std::make_unique<Host>(Host { UpdateRelay(records[i], maxUpdateDelay, i + 1) }));
         m_records = std::move(records);
     }
 
@@ -90,13 +90,11 @@
 
     struct Host {
         UpdateRelay relay;
-        UpdateSource::Choice source;
-        std::uint64_t readNumber = 0; ///< Identifies the outstanding read.
         std::uint64_t known = 0; ///< Latest revision of the item.
     };
     struct StoreWatch {
         std::size_t host;
-        std::uint64_t readNumber;
+        ReadNumber number;
         StoreRead read;
         Instant expiresAt;
     };
@@ -135,14 +133,12 @@
             result.items.push_back({ "item", "v", m_storeRevision, false });
         return result;
     }
-    void finish(std::size_t host, std::uint64_t number, StoreResult result, std::optional<Duration> age)
+    void finish(std::size_t host, ReadNumber number, StoreResult result, std::optional<ReplyAge> age)
     {
-        Host& each = *m_hosts[host];
-        if (each.readNumber != number || silent.contains(host))
+        if (silent.contains(host))
             return;
-        ++each.readNumber;
         UpdateActions actions;
-        each.relay.handleResult(each.source, std::move(result), age, m_now, actions);
+        m_hosts[host]->relay.handleResult(number, std::move(result), age, m_now, actions);
         perform(host, std::move(actions));
     }
     void perform(std::size_t host, UpdateActions actions)
@@ -160,8 +156,7 @@
     }
     void send(std::size_t host, const UpdateActions::Read& each)
     {
-        std::uint64_t number = m_hosts[host]->readNumber;
-        m_hosts[host]->source = each.source;
+        ReadNumber number = each.number;
         schedule(each.read.timeout, [this, host, number] {
             StoreResult failure;
             failure.cause = "no reply within the timeout";
@@ -199,7 +194,7 @@
         std::erase_if(m_storeWatches, [this](const StoreWatch& watch) {
             if (watch.read.afterRevision >= m_storeRevision && m_now < watch.expiresAt)
                 return false;
-            schedule(step, [this, watch, result = storeResult(watch.read)] { finish(watch.host, watch.readNumber, result, std::nullopt); });
+            schedule(step, [this, watch, result = storeResult(watch.read)] { finish(watch.host, watch.number, result, std::nullopt); });
             return true;
         });
     }
@@ -211,7 +206,7 @@
     std::vector<MemberRecord> m_records;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::vector<StoreWatch> m_storeWatches;
-    std::map<CallId, std::pair<std::size_t, std::uint64_t>> m_readers;
+    std::map<CallId, std::pair<std::size_t, ReadNumber>> m_readers;
     std::uint64_t m_lastReader = 0;
     std::uint64_t m_order = 0;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
--- a/test/UpdateTest.cpp
+++ b/test/UpdateTest.cpp
@@ -74,7 +74,7 @@
     std::set<std::string> sources;
     for (const MemberRecord& self : fleet()) {
         UpdateSource source = sourceOf(self);
-        UpdateSource::Choice choice = source.choose(at(0));
+        UpdateSource::Choice choice = source.choose(at(0)).value();
         storeReaders += !choice.host;
         if (self.dataCentre().value() == "a" && choice.host)
             sources.insert(choice.host->text());
@@ -91,10 +91,10 @@
     members[0].setMillicores(120);
     UpdateSource weak(members[0]);
     weak.setMembers({ members[1], members[2] });
-    CHECK(weak.choose(at(0)).host == members[1].tcp());
+    CHECK(weak.choose(at(0)).value().host == members[1].tcp());
     UpdateSource strong(members[1]);
     strong.setMembers({ members[0], members[2] });
-    CHECK_FALSE(strong.choose(at(0)).host);
+    CHECK_FALSE(strong.choose(at(0)).value().host);
 }
 
 TEST_CASE("A host whose sources fail tries the hosts that rank before it one after the other, then the store")
@@ -103,7 +103,7 @@
     for (const MemberRecord& self : fleet()) {
         UpdateSource source = sourceOf(self);
         std::set<Endpoint> tried;
-        for (auto choice = source.choose(at(0)); choice.host; choice = source.choose(at(0))) {
+        for (auto choice = source.choose(at(0)).value(); choice.host; choice = source.choose(at(0)).value()) {
             CHECK(tried.insert(*choice.host).second);
             source.recordFailure(choice, at(0));
         }
@@ -121,9 +121,11 @@
         bool storeTried = false;
         source.recordFailure({}, at(0));
         for (int time = 100; time <= 400; time += 100) {
-            UpdateSource::Choice choice = source.choose(at(time));
-            storeTried = storeTried || !choice.host;
-            source.recordFailure(choice, at(time));
+            auto choice = source.choose(at(time));
+            if (!choice)
+                continue;
+            storeTried = storeTried || !choice->host;
+            source.recordFailure(*choice, at(time));
         }
         CHECK(storeTried);
     }
@@ -136,10 +138,12 @@
         // Every source fails, so each is tried in turn.
         std::set<Endpoint> tried;
         for (int time = 0; time < 600; time += 50) {
-            UpdateSource::Choice choice = source.choose(at(time));
-            if (choice.host)
-                tried.insert(*choice.host);
-            source.recordFailure(choice, at(time));
+            auto choice = source.choose(at(time));
+            if (!choice)
+                continue;
+            if (choice->host)
+                tried.insert(*choice->host);
+            source.recordFailure(*choice, at(time));
         }
         CHECK(tried.size() == fleet().size() - 1);
     }
