List the store itself after one silent host

What callers would see: a host that starts, or whose history was lost, while the hosts above it are silent refuses calls, or serves an old configuration, for as long as the series of them lasts.

Change: after a failed read, a listing goes on at the store, unless that failed too.

Measured: UpdateRelayTest "A listing that a silent host leaves without a reply continues at the store, at a start and after lost history": failed in both cases, now passes.

--- a/Pimentopoint/src/Serve/UpdateRelay.cpp
+++ b/Pimentopoint/src/Serve/UpdateRelay.cpp
@@ -90,6 +90,9 @@
     if (m_follower.complete() && discovering)
         return;
     auto choice = m_source.choose(now);
+    // A listing has no age that would bound the search for a source.
+    if (m_follower.listing() && m_failures && !m_source.isAvoided(UpdateSource::Choice(), now))
+        choice = UpdateSource::Choice();
     if (!choice)
         return;
     auto read = m_follower.beginRead(now);
--- a/test/UpdateRelayTest.cpp
+++ b/test/UpdateRelayTest.cpp
@@ -140,3 +140,23 @@
     }
     CHECK(storeRead);
 }
+
+TEST_CASE("A listing that a silent host leaves without a reply continues at the store, at a start and after lost history")
+{
+    for (bool historyLost : { false, true }) {
+        INFO((historyLost ? "after lost history" : "at a start"));
+        RelayRun run;
+        if (historyLost) {
+            run.complete();
+            StoreResult lost;
+            lost.kind = StoreResult::Kind::HistoryLost;
+            run.reply(run.reads.back().number, lost);
+        }
+        run.runUntil(run.now() + 200ms);
+        REQUIRE(run.reads.back().source.host == member(1).tcp());
+        REQUIRE(run.reads.back().read.kind == StoreRead::Kind::Page);
+        run.runUntil(run.now() + scaled(maxUpdateDelay, 0.2));
+        CHECK_FALSE(run.reads.back().source.host);
+        CHECK(run.reads.back().read.kind == StoreRead::Kind::Page);
+    }
+}
