Apply only the latest of several changes of a key that arrive together

Cause: a mirror reported every change of a batch, and each configuration was parsed.

Change: the mirror reports the latest change of each key.

Measured: UpdateTest "A mirror reports only the latest of several changes of a key that arrive together": failed with 4 items instead of 2, now passes.

--- a/Pimentopoint/src/Serve/StoreMirror.cpp
+++ b/Pimentopoint/src/Serve/StoreMirror.cpp
@@ -1,6 +1,7 @@
 #include "StoreMirror.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace pimentopoint {
 
@@ -14,12 +15,17 @@
 std::vector<StoreItem> StoreMirror::apply(const StoreUpdate& update, std::uint64_t revision, Instant now)
 {
     std::vector<StoreItem> changed;
+    std::map<std::string_view, std::size_t> positions; ///< Positions of the items in \c changed, by key.
     for (const StoreItem& item : update.changes) {
         auto [at, added] = m_entries.try_emplace(item.key);
         if (!added && item.revision <= at->second.revision)
             continue;
         at->second = { item.value, item.revision, item.removed, now };
-        changed.push_back(item);
+        auto [position, first] = positions.try_emplace(item.key, changed.size());
+        if (first)
+            changed.push_back(item);
+        else
+            changed[position->second] = item;
     }
     if (update.allKeys) {
         for (auto& [key, entry] : m_entries) {
--- a/Pimentopoint/src/Serve/StoreMirror.h
+++ b/Pimentopoint/src/Serve/StoreMirror.h
@@ -13,7 +13,8 @@
 /// limited time; a reader that requests changes from before that has to list everything.
 class StoreMirror {
 public:
-    /// \returns the items that changed: those with a larger revision than the known one, and removals of items that a full listing no longer has
+    /// \returns the items that changed: those with a larger revision than the known one, only the latest of several changes of a key, and
+    /// removals of items that a full listing no longer has
     std::vector<StoreItem> apply(const StoreUpdate& update, std::uint64_t revision, Instant now);
 
     /// \returns whether a full listing was applied at least once
--- a/test/UpdateTest.cpp
+++ b/test/UpdateTest.cpp
@@ -320,6 +320,22 @@
     CHECK(changed[1].removed);
 }
 
+TEST_CASE("A mirror reports only the latest of several changes of a key that arrive together")
+{
+    StoreMirror mirror;
+    StoreUpdate listing;
+    listing.changes = { item("a", 3), item("b", 4) };
+    listing.allKeys = std::set<std::string> { "a", "b" };
+    mirror.apply(listing, 10, at(0));
+    StoreUpdate update;
+    update.changes = { item("a", 11, "first"), { "b", "", 12, true }, item("a", 13, "second"), item("b", 14, "back") };
+    std::vector<StoreItem> changed = mirror.apply(update, 14, at(1));
+    REQUIRE(changed.size() == 2);
+    CHECK(changed[0].value == "second");
+    CHECK(changed[1].value == "back");
+    CHECK_FALSE(changed[1].removed);
+}
+
 TEST_CASE("A mirror reports a removal to readers when a new listing omits a key")
 {
     StoreMirror mirror;
