Read the rate limit that a target states, and log its changes

What callers saw: nothing yet; targets got up to 278 requests in 4 s where 196 are allowed (docs/incidents/target-rate-limit.md).

Why: the log could not tell whether hosts know a target's limit at all.

--- a/Pimentopoint/src/Net/HttpText.cpp
+++ b/Pimentopoint/src/Net/HttpText.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 #include <charconv>
+#include <cmath>
 
 namespace pimentopoint {
 
@@ -70,6 +71,14 @@
     return number;
 }
 
+std::optional<double> parseRate(std::string_view value)
+{
+    double rate = 0;
+    auto [end, failed] = std::from_chars(value.data(), value.data() + value.size(), rate);
+    bool valid = failed == std::errc() && end == value.data() + value.size() && std::isfinite(rate) && rate >= 0;
+    return valid ? std::optional(rate) : std::nullopt;
+}
+
 std::optional<std::vector<std::size_t>> parseNumbers(std::string_view value)
 {
     std::vector<std::size_t> numbers;
--- a/Pimentopoint/src/Net/TargetConnection.cpp
+++ b/Pimentopoint/src/Net/TargetConnection.cpp
@@ -274,6 +274,7 @@
     reply.status = message.result_int();
     reply.notRun = hasHeader(message, m_headerNames.notRun) || reply.status == misdirected;
     reply.addressReused = reply.status == misdirected;
+    reply.rateLimit = parseRate(headerValue(message, m_headerNames.rateLimit));
     auto signature = message.find(m_headerNames.signature);
     if (signature != message.end())
         reply.signature = std::string(signature->value());
--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -256,6 +256,8 @@
     auto outstanding = removeOutstanding(state, attempt);
     if (!outstanding)
         return;
+    if (reply.outcome == TargetReply::ReplyOutcome::Answered && !reply.addressReused)
+        recordRateLimit(state, reply.rateLimit);
     Duration backoff = std::min(m_timing.maxBackoff, m_timing.initialBackoff * (1U << std::min(state.consecutiveFailures, 5U)));
     if (reply.addressReused) {
         m_observer(name, "target-replaced", "another target now has its address");
@@ -279,6 +281,14 @@
     }
 }
 
+void TargetPool::recordRateLimit(TargetState& state, std::optional<double> limit)
+{
+    if (limit == state.rateLimit)
+        return;
+    state.rateLimit = limit;
+    m_observer(state.target.name, "target-limit", limit ? std::to_string(*limit) + " requests per second over all hosts" : "target states no limit any more");
+}
+
 void TargetPool::recordAbandoned(const TargetName& name, AttemptNumber attempt, bool unresponsive, Instant now)
 {
     auto found = m_targets.find(name);
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -104,6 +104,7 @@
         double failureRate = 0; ///< Recent fraction of failures, 0 to 1.
         Instant decayedAt {};
         unsigned consecutiveFailures = 0;
+        std::optional<double> rateLimit; ///< Requests per second that the target accepts from all hosts together, as its latest reply says.
         Instant avoidUntil {};
     };
 
@@ -116,6 +117,7 @@
         double coldRequestsPerSecond = 0; ///< Limit for one cold target over all hosts together; 0: none.
     };
 
+    void recordRateLimit(TargetState& state, std::optional<double> limit);
     static bool hasStalledRequest(const TargetState& state, Instant now);
     void decay(TargetState& state, Instant now) const;
     void recordFailure(TargetState& state, Duration backoff, std::string_view reason, Instant now);
--- a/Pimentopoint/src/Serve/TargetReply.h
+++ b/Pimentopoint/src/Serve/TargetReply.h
@@ -26,6 +26,7 @@
     bool notRun = false; ///< Whether the target states that it did not run the request.
     bool addressReused = false; ///< Whether another target now has the address.
     std::string signature; ///< The target's signature of the reply; empty if the reply has none.
+    std::optional<double> rateLimit; ///< Requests per second that the target accepts from all hosts together; nothing if it states no limit.
     HeaderList headers; ///< Headers that are passed to the caller.
     std::string body;
     std::string subRequestSignatures; ///< In an aggregator's reply: the signatures of the replies to the sub-requests, separated by commas.
