Keep to this host's share of the rate limit that a target states

What callers saw: nothing yet; a target that stated 31.9 requests per second for all hosts together got 278 in 4 s where 196 are allowed (docs/incidents/target-rate-limit.md). One that is in need gets no relief, and its replies get worse for all.

Cause: nothing read the limit. Class: a limit that all hosts share and that comes from the target itself.

Ruled out: division by the hosts with one request each as the least. At 61 hosts and 1.2 requests per second, 12 are allowed in 4 s, so a sixth of the hosts would already use all of it. Hosts that own a target by a ranking of the members: it needs equal lists for the sum to hold. Waiting for credit: the call would end at its deadline.

Change: RateLimitShare turns a limit and this host's fraction into a token bucket, whose capacity and earnings in 4 s stay within 0.9 of the host's part of what the target tolerates (1.5 times the limit and 5 more, by the platform's rules). Where that part is less than one request, a host draws whether it sends; the others send none and learn the limit again after a time that grows with their number. The pool skips targets without credit. A call whose targets have none is refused before anything is sent, with the time until it can be sent; a fan-out that can be answered without some shards is sent to the others.

--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -48,6 +48,7 @@
     , m_startedAt(now)
     , m_deadline(m_request->arrivedAt + std::min(m_request->timeout, route.timeout))
     , m_stragglerThreshold(stragglerThreshold)
+    , m_retryDelay(refusalRetryDelay)
 {
     m_subRequests.resize(services.size());
     for (std::size_t i = 0; i < services.size(); ++i)
@@ -59,6 +60,10 @@
     bool shardsGiven = m_request->delegation && !m_request->delegation->shards.empty();
     if (m_route->isFanOut() && !shardsGiven)
         m_delegated = environment.delegate(now);
+    if (!m_delegated)
+        refuseIfLimited(environment, now);
+    if (m_finished)
+        return;
     auto runsHere = [this](std::size_t index) { return !m_delegated || std::find(m_delegated->subRequests.begin(), m_delegated->subRequests.end(), index) == m_delegated->subRequests.end(); };
     for (std::size_t i = 0; i < m_subRequests.size(); ++i) {
         if (runsHere(i))
@@ -67,6 +72,26 @@
     finishIfDone(environment, now);
 }
 
+void CallRun::refuseIfLimited(CallEnvironment& environment, Instant now)
+{
+    std::vector<Duration> waits;
+    for (std::size_t i = 0; i < m_subRequests.size(); ++i) {
+        if (auto wait = environment.rateLimitWait(i, now))
+            waits.push_back(*wait);
+    }
+    std::size_t possible = m_subRequests.size() - waits.size();
+    if (waits.empty() || (m_route->isFanOut() && coverageSuffices(possible)))
+        return;
+    // The call succeeds once enough of its sub-requests can be sent.
+    std::sort(waits.begin(), waits.end());
+    std::size_t needed = 0;
+    while (needed + 1 < waits.size() && !coverageSuffices(possible + needed + 1))
+        ++needed;
+    m_retryDelay = std::max(refusalRetryDelay, waits[needed]);
+    m_abortReason = "rate limits of the targets are reached";
+    finish(environment, now);
+}
+
 void CallRun::tryAttempt(CallEnvironment& environment, std::size_t index, bool extra, Instant now)
 {
     SubRequest& subRequest = m_subRequests[index];
@@ -80,6 +105,10 @@
     case CallEnvironment::AttemptResult::Saturated:
         subRequest.waiting = subRequest.outstanding.empty();
         return;
+    case CallEnvironment::AttemptResult::Limited:
+        if (auto wait = environment.rateLimitWait(index, now))
+            m_retryDelay = std::max(m_retryDelay, *wait);
+        [[fallthrough]];
     case CallEnvironment::AttemptResult::NoTarget:
     case CallEnvironment::AttemptResult::ExtraDenied:
         if (subRequest.outstanding.empty())
@@ -359,7 +388,7 @@
     m_answer.reason = reason;
     if (!mayHaveRun) {
         m_answer.status = serviceUnavailable;
-        m_answer.retryAfter = refusalRetryDelay;
+        m_answer.retryAfter = m_retryDelay;
     } else {
         m_answer.status = m_abortReason ? gatewayTimeout : badGateway;
     }
--- a/Pimentopoint/src/Serve/CallRun.h
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -19,12 +19,16 @@
     enum class AttemptResult : std::uint8_t {
         Started,
         Saturated, ///< Every usable target has all its connections in use.
+        Limited, ///< This host's share of the rate limits of all usable targets is used up.
         NoTarget, ///< No target is usable.
         ExtraDenied, ///< The extra attempt exceeds the budget, or it is a hedge and no healthy target is left.
     };
     /// \brief Sends sub-request \a index to a target that has not been tried for it yet.
     /// \param extra whether the attempt is charged to the budget of extra attempts
     virtual AttemptResult startAttempt(std::size_t index, bool extra, Instant now) = 0;
+    /// \brief Time until sub-request \a index can be sent, as far as the rate limits of its targets decide it.
+    /// \returns nothing if they do not prevent it now
+    virtual std::optional<Duration> rateLimitWait(std::size_t index, Instant now) = 0;
     /// Sub-requests that an aggregator runs for this host.
     struct DelegatedGroup {
         AttemptNumber attempt;
@@ -99,6 +103,8 @@
 
 private:
     void failDelegated();
+    /// Refuses the call if rate limits prevent so many of its sub-requests that the others would not suffice.
+    void refuseIfLimited(CallEnvironment& environment, Instant now);
     void tryAttempt(CallEnvironment& environment, std::size_t index, bool extra, Instant now);
     void retry(CallEnvironment& environment, std::size_t index, Instant now);
     void fail(SubRequest& subRequest);
@@ -131,6 +137,7 @@
     unsigned m_extraAttempts = 0;
     std::optional<CallEnvironment::DelegatedGroup> m_delegated;
     TargetReply m_delegateReply; ///< Reply of the aggregator.
+    Duration m_retryDelay; ///< Time after which the caller may try again if the call is refused.
     const char* m_abortReason = nullptr; ///< Why the call ended before its sub-requests did; null if it did not.
     bool m_finished = false;
     CallerAnswer m_answer;
--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -49,6 +49,7 @@
     if (restarted) {
         m_observer(target.name, "target-restarted", target.endpoint.text());
         removeFromGroup(state);
+        clearRateLimit(state);
         state = TargetState();
     }
     if (added || restarted) {
@@ -101,6 +102,7 @@
     const ServicePolicy* policy = m_routing ? m_routing->service(service) : nullptr;
     double hostFraction = m_shardServices.contains(service) ? m_fanOutFraction : 1 / static_cast<double>(m_hostCount);
     group.connectionLimit = policy ? std::max<std::size_t>(1, static_cast<std::size_t>(policy->maxConnections * usableConnectionFraction * hostFraction)) : 1;
+    group.hostFraction = hostFraction;
     group.coldRequestsPerSecond = policy ? policy->coldRequestsPerSecond : 0;
     group.allHostsMayConnect = group.connectionLimit > 1;
     group.routed = m_routedServices.contains(service);
@@ -205,6 +207,11 @@
             status = ChoiceStatus::Saturated;
             continue;
         }
+        if (!rateLimitAllows(group, state, now)) {
+            if (status == ChoiceStatus::NoTarget)
+                status = ChoiceStatus::Limited;
+            continue;
+        }
         double value = score(state, now);
         if (!best || value < bestScore) {
             best = &state;
@@ -224,6 +231,8 @@
         return;
     TargetState& state = found->second;
     state.outstanding.push_back({ attempt, now, expectedLatency, stragglerThreshold });
+    if (state.rateLimit)
+        state.rateLimit->recordRequest(now);
     if (state.coldCreditAt && now < state.coldUntil)
         state.coldCredit -= 1;
 }
@@ -257,7 +266,7 @@
     if (!outstanding)
         return;
     if (reply.outcome == TargetReply::ReplyOutcome::Answered && !reply.addressReused)
-        recordRateLimit(state, reply.rateLimit);
+        recordRateLimit(state, reply.rateLimit, now);
     Duration backoff = std::min(m_timing.maxBackoff, m_timing.initialBackoff * (1U << std::min(state.consecutiveFailures, 5U)));
     if (reply.addressReused) {
         m_observer(name, "target-replaced", "another target now has its address");
@@ -281,12 +290,50 @@
     }
 }
 
-void TargetPool::recordRateLimit(TargetState& state, std::optional<double> limit)
+void TargetPool::clearRateLimit(TargetState& state)
+{
+    m_limitedCount -= state.rateLimit.has_value();
+    state.rateLimit.reset();
+}
+
+void TargetPool::recordRateLimit(TargetState& state, std::optional<double> limit, Instant now)
 {
-    if (limit == state.rateLimit)
+    if (!limit) {
+        if (state.rateLimit)
+            m_observer(state.target.name, "target-limit", "target states no limit any more");
+        clearRateLimit(state);
         return;
-    state.rateLimit = limit;
-    m_observer(state.target.name, "target-limit", limit ? std::to_string(*limit) + " requests per second over all hosts" : "target states no limit any more");
+    }
+    if (!state.rateLimit || state.rateLimit->limit() != *limit)
+        m_observer(state.target.name, "target-limit", std::to_string(*limit) + " requests per second over all hosts");
+    if (state.rateLimit) {
+        state.rateLimit->setLimit(*limit, now);
+        return;
+    }
+    auto group = m_groups.find(state.target.service);
+    state.rateLimit.emplace(*limit, group == m_groups.end() ? 1 : group->second.hostFraction, m_random.fraction(), now);
+    ++m_limitedCount;
+}
+
+bool TargetPool::rateLimitAllows(const ServiceGroup& group, TargetState& state, Instant now)
+{
+    if (!state.rateLimit)
+        return true;
+    state.rateLimit->setFraction(group.hostFraction, now);
+    return state.rateLimit->allows(now) || (state.rateLimit->expired(now) && state.outstanding.empty());
+}
+
+Duration TargetPool::rateLimitWait(const ServiceName& service, Instant now)
+{
+    Duration wait = Duration::max();
+    auto found = m_groups.find(service);
+    if (found == m_groups.end())
+        return Duration(0);
+    for (TargetState* state : found->second.targets) {
+        if (state->rateLimit && isUsable(*state, now))
+            wait = std::min(wait, state->rateLimit->wait(now));
+    }
+    return wait == Duration::max() ? Duration(0) : wait;
 }
 
 void TargetPool::recordAbandoned(const TargetName& name, AttemptNumber attempt, bool unresponsive, Instant now)
@@ -357,8 +404,10 @@
     for (auto each = m_targets.begin(); each != m_targets.end();) {
         TargetState& state = each->second;
         bool expired = state.leavingSince && state.outstanding.empty() && now - *state.leavingSince >= m_timing.removalTimeout;
-        if (expired)
+        if (expired) {
             removeFromGroup(state);
+            clearRateLimit(state);
+        }
         each = expired ? m_targets.erase(each) : std::next(each);
     }
 }
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -2,6 +2,7 @@
 
 #include "../Core/Random.h"
 #include "DiscoveredTarget.h"
+#include "RateLimitShare.h"
 #include "RoutingTable.h"
 #include "ShardAvailability.h"
 #include "TargetReply.h"
@@ -39,6 +40,7 @@
     enum class ChoiceStatus : std::uint8_t {
         Chosen,
         Saturated, ///< All connections that this host may use are in use.
+        Limited, ///< This host's share of the rate limits of all usable targets is used up.
         NoTarget, ///< No target is usable.
     };
     struct Choice {
@@ -63,6 +65,10 @@
 
     /// \returns the best target of \a service that is not in \a tried, or nothing; \a status is set to the reason
     std::optional<Choice> choose(const ServiceName& service, const std::vector<TargetName>& tried, Instant now, ChoiceStatus& status);
+    /// \returns whether any target is known to limit the rate of its requests
+    bool hasRateLimits() const { return m_limitedCount > 0; }
+    /// \returns the time until this host may send to a target of \a service again after choose() found them limited
+    Duration rateLimitWait(const ServiceName& service, Instant now);
     /// Records the start of \a attempt, which is expected to take \a expectedLatency and is a straggler after \a stragglerThreshold.
     void recordAttempt(const TargetName& name, AttemptNumber attempt, Duration expectedLatency, Duration stragglerThreshold, Instant now);
     void recordReply(const TargetName& name, AttemptNumber attempt, const TargetReply& reply, Instant now);
@@ -104,7 +110,7 @@
         double failureRate = 0; ///< Recent fraction of failures, 0 to 1.
         Instant decayedAt {};
         unsigned consecutiveFailures = 0;
-        std::optional<double> rateLimit; ///< Requests per second that the target accepts from all hosts together, as its latest reply says.
+        std::optional<RateLimitShare> rateLimit; ///< Share of the limit that the target's latest reply states; nothing if it states none.
         Instant avoidUntil {};
     };
 
@@ -114,10 +120,13 @@
         std::size_t connectionLimit = 1; ///< Most connections from this host to one target.
         bool allHostsMayConnect = false; ///< Whether each host may use more than one connection to each target.
         bool routed = false; ///< Whether a route uses the service.
+        double hostFraction = 1; ///< This host's fraction of limits that all hosts share.
         double coldRequestsPerSecond = 0; ///< Limit for one cold target over all hosts together; 0: none.
     };
 
-    void recordRateLimit(TargetState& state, std::optional<double> limit);
+    void recordRateLimit(TargetState& state, std::optional<double> limit, Instant now);
+    void clearRateLimit(TargetState& state);
+    bool rateLimitAllows(const ServiceGroup& group, TargetState& state, Instant now);
     static bool hasStalledRequest(const TargetState& state, Instant now);
     void decay(TargetState& state, Instant now) const;
     void recordFailure(TargetState& state, Duration backoff, std::string_view reason, Instant now);
@@ -139,6 +148,7 @@
     double m_fanOutFraction = 1; ///< This host's fraction of the connections to a target of a fan-out.
     std::set<ServiceName> m_routedServices; ///< Services that routes use.
     std::set<ServiceName> m_shardServices; ///< Services that are shards of a fan-out.
+    std::size_t m_limitedCount = 0; ///< Number of targets that are known to limit the rate of their requests.
     std::map<TargetName, TargetState> m_targets;
     std::unordered_map<ServiceName, ServiceGroup> m_groups;
 };
--- a/Pimentopoint/src/Serve/internal/CallEngineEnvironment.cpp
+++ b/Pimentopoint/src/Serve/internal/CallEngineEnvironment.cpp
@@ -17,8 +17,11 @@
     SubRequest& subRequest = m_run.subRequest(index);
     TargetPool::ChoiceStatus status = TargetPool::ChoiceStatus::Chosen;
     auto choice = m_engine.m_pool.choose(subRequest.service, subRequest.triedTargets, now, status);
-    if (!choice)
-        return status == TargetPool::ChoiceStatus::Saturated ? AttemptResult::Saturated : AttemptResult::NoTarget;
+    if (!choice) {
+        if (status == TargetPool::ChoiceStatus::Saturated)
+            return AttemptResult::Saturated;
+        return status == TargetPool::ChoiceStatus::Limited ? AttemptResult::Limited : AttemptResult::NoTarget;
+    }
     // A hedge at a target that is stalled, avoided or leaving would not help.
     if (extra && !subRequest.outstanding.empty() && !choice->healthy)
         return AttemptResult::ExtraDenied;
@@ -40,6 +43,16 @@
     return AttemptResult::Started;
 }
 
+std::optional<Duration> CallEngine::Environment::rateLimitWait(std::size_t index, Instant now)
+{
+    if (!m_engine.m_pool.hasRateLimits())
+        return std::nullopt;
+    const SubRequest& subRequest = m_run.subRequest(index);
+    TargetPool::ChoiceStatus status = TargetPool::ChoiceStatus::Chosen;
+    m_engine.m_pool.choose(subRequest.service, subRequest.triedTargets, now, status);
+    return status == TargetPool::ChoiceStatus::Limited ? std::optional(m_engine.m_pool.rateLimitWait(subRequest.service, now)) : std::nullopt;
+}
+
 std::optional<CallEnvironment::DelegatedGroup> CallEngine::Environment::delegate(Instant now)
 {
     if (m_engine.m_aggregators.empty())
