--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -1,6 +1,7 @@
 #include "../platform/Documents.h"
 #include "../platform/PlatformNames.h"
 #include "../platform/StoreFormat.h"
+#include "OddEntries.h"
 
 #include <catch2/catch.hpp>
 #include <cereal/external/base64.hpp>
@@ -93,6 +94,14 @@
         CHECK_THROWS_AS(platform::decode(makeItem("servers/i-1", bytes)), platform::MalformedDocument);
 }
 
+TEST_CASE("A target entry with extreme values is rejected")
+{
+    for (const auto& [name, value] : oddEntries(validEntry())) {
+        INFO(name);
+        CHECK_THROWS_AS(platform::decode(makeItem("servers/i-1", value)), platform::MalformedDocument);
+    }
+}
+
 TEST_CASE("Evacuations and removed target entries are decoded as different changes")
 {
     auto begins = platform::decode(makeItem("op/evacuate/a", "{}"));
