Read the other items of a store's reply when one can't be read

What callers would see: hosts stop following the store, one after another as they read the item: no new targets, no new configurations.

Cause: one item without a key, a value or a revision made the whole reply a failure, and the next read got the same one.

Change: such an item is left out, counted (pimentopoint_news_unreadable_items_total) and logged with its cause (news-items-unreadable).

--- a/Pimentopoint/src/Net/UpdateFeed.cpp
+++ b/Pimentopoint/src/Net/UpdateFeed.cpp
@@ -130,6 +130,10 @@
         result.cause = response.cause;
     else
         result = read.source.host ? decodeUpdates(response.status, response.body) : m_hooks.storeResult(read.read, response.status, response.body);
+    if (result.unreadableItems) {
+        m_metrics.add("pimentopoint_news_unreadable_items_total", "", result.unreadableItems);
+        Log::event(Severity::Warning, "news-items-unreadable", { { "source", sourceText(read.source) }, { "count", std::uint64_t(result.unreadableItems) }, { "cause", result.cause } });
+    }
     UpdateActions actions;
     m_relay.handleResult(read.number, std::move(result), ageOf(response), m_clock.now(), actions);
     perform(std::move(actions));
--- a/Pimentopoint/src/Serve/StoreFollower.h
+++ b/Pimentopoint/src/Serve/StoreFollower.h
@@ -46,7 +46,8 @@
     std::vector<StoreItem> items;
     bool hasMore = false; ///< Whether further pages follow.
     std::uint64_t revision = 0; ///< Revision of the store that the result reflects.
-    std::string cause; ///< Cause of a failure.
+    std::size_t unreadableItems = 0; ///< Number of items that were left out because they could not be read.
+    std::string cause; ///< Cause of a failure, or why the first of these items could not be read.
 };
 
 /// Changes that a result brings.
