Refuse calls during a stop that may not be answered before its end

What callers would see: during a planned stop, a request that comes late on an open connection is sent to a target and then ends with 504, or without an answer if it came within the last 350 ms; a request that isn't idempotent may have run.

Cause: a stopping host took every request, however little time was left, and gave up on all of them 0.7 s before its end.

Change: the engine knows until when answers are given. An idempotent call needs its objective until then, any other one its whole timeout; otherwise it is refused at once with 503, before anything is sent, on a connection that closes, so that the caller turns to another host. A timeout that changes with the settings moves that time.

--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -122,6 +122,12 @@
         refuse(id, *request, notFound, "no route matches", Duration(0), now, actions);
         return;
     }
+    // A request that isn't idempotent must not be cut off while it may run; others are answered by their objective if they can be.
+    Duration expected = route->idempotent ? route->objective : std::min(route->timeout, request->timeout);
+    if (m_answersUntil && now + expected > *m_answersUntil) {
+        refuse(id, *request, serviceUnavailable, "process is stopping", Duration(0), now, actions);
+        return;
+    }
     std::vector<ServiceName> services = servicesOf(*request, *route);
     if (services.empty()) {
         refuse(id, *request, badRequest, "delegated shards are not in the route", Duration(0), now, actions);
--- a/Pimentopoint/src/Serve/CallEngine.h
+++ b/Pimentopoint/src/Serve/CallEngine.h
@@ -89,6 +89,8 @@
     void handleAcknowledgement(AttemptNumber attempt, Instant now);
     void handleCallerDisconnected(CallId call, Instant now, CallActions& actions);
     void tick(Instant now, CallActions& actions);
+    /// Calls that may not be answered by \a answersUntil are refused from now on, since the process is stopping.
+    void beginStop(Instant answersUntil) { m_answersUntil = answersUntil; }
     /// Answers every call with the results received so far, since the process is stopping.
     void handleShutdown(Instant now, CallActions& actions);
     std::optional<Instant> nextWakeup() const;
@@ -141,6 +143,7 @@
     Recorder m_recorder;
     RoutingTablePointer m_routing;
     bool m_serving = false;
+    std::optional<Instant> m_answersUntil; ///< Set while the process is stopping.
     std::vector<HeldRequest> m_heldRequests;
     std::unordered_map<CallId, Call> m_calls;
     std::unordered_map<AttemptNumber, AttemptState> m_attempts;
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -184,6 +184,7 @@
         return;
     m_stoppingSince = m_clock.now();
     m_ready = false;
+    m_engine.beginStop(*m_stoppingSince + m_settings.stopTimeout - lastAnswerMargin);
     m_callerServer.beginDrain();
     if (m_hostServer)
         m_hostServer->beginDrain();
@@ -205,6 +206,8 @@
     try {
         HostSettings settings = HostSettings::parse(m_settingsText, m_settingsPath);
         m_settings.stopTimeout = settings.stopTimeout;
+        if (m_stoppingSince)
+            m_engine.beginStop(*m_stoppingSince + m_settings.stopTimeout - lastAnswerMargin);
         Log::event(Severity::Info, "settings-reloaded", { { "cause", cause }, { "effect", "the stop timeout; other changes apply at the next start" } });
     } catch (const Failure& invalid) {
         Log::event(Severity::Warning, "settings-refused", { { "cause", invalid.what() } });
--- a/test/StartStopTest.cpp
+++ b/test/StartStopTest.cpp
@@ -100,3 +100,32 @@
     CHECK(actions.answers.empty());
     CHECK(actions.attempts.size() == 1);
 }
+
+TEST_CASE("While a host stops, a call is refused at once if it may not be answered before the end, and served otherwise")
+{
+    struct Case {
+        const char* name;
+        const char* host;
+        int time; ///< In milliseconds; answers are given until 5,000.
+        bool refused;
+    };
+    // The objective of the routes is 200 ms, their timeout 2 s.
+    const Case cases[] = { { "time for the objective", "single.example", 4700, false }, { "less than the objective", "single.example", 4801, true }, { "after the last answers", "single.example", 5100, true },
+        { "fan-out, time for the objective", "fan.example", 4700, false }, { "fan-out, less than the objective", "fan.example", 4900, true }, { "not idempotent, time for the timeout", "order.example", 2900, false },
+        { "not idempotent, less than the timeout", "order.example", 3001, true } };
+    for (const Case& each : cases) {
+        INFO(each.name);
+        RoutePolicy order = singleRoute("one");
+        order.host = "order.example";
+        order.idempotent = false;
+        EngineFixture fixture({ fanOutRoute(4), singleRoute("one"), order });
+        discoverTargets(fixture, 4, 1);
+        fixture.pool.put(makeTarget("one", 1), millisecond(0));
+        fixture.engine.beginStop(millisecond(5000));
+        CallId call = fixture.sendRequest(each.host, millisecond(each.time));
+        CHECK(fixture.attempts.empty() == each.refused);
+        CHECK(fixture.answers.contains(call) == each.refused);
+        if (each.refused)
+            CHECK(fixture.answers[call].status == 503);
+    }
+}
