Test replies that end within their head, and an edge host beside odd entries of the store

Reports of other operators: clients got a 200 with an empty or short body when a target stopped within the head of its reply; hosts ended, or stopped following the store, on an entry that is deeply nested or has a number too large or a port out of range.

Result: neither happens here. Six replies that end within the status line, after it, within a header line, before the empty line with and without a length, and within the last chunk's length are all lost replies: the request is not answered from them.

--- a/test/EdgeTest.cpp
+++ b/test/EdgeTest.cpp
@@ -2,6 +2,7 @@
 #include "../standins/StandinService.h"
 #include "../standins/StandinStore.h"
 #include "ChildProcess.h"
+#include "OddEntries.h"
 #include "Ports.h"
 
 #include <boost/asio/write.hpp>
@@ -115,6 +116,12 @@
         { "to another request", replyText("Content-Length: 2\r\n", "ok", "id9"), AfterReply::Stay, ReplyOutcome::Lost },
         { "without signature", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", AfterReply::Stay, ReplyOutcome::Lost },
         { "encoded", replyText("Content-Encoding: gzip\r\nContent-Length: 2\r\n", "ok"), AfterReply::Stay, ReplyOutcome::Lost },
+        { "cut within the status line", "HTTP/1.1 20", AfterReply::Close, ReplyOutcome::Lost },
+        { "cut after the status line", "HTTP/1.1 200 OK\r\n", AfterReply::Close, ReplyOutcome::Lost },
+        { "cut within a header line", replyText("Content-Len", "").substr(0, replyText("Content-Len", "").size() - 2), AfterReply::Close, ReplyOutcome::Lost },
+        { "cut before the empty line", replyText("Content-Length: 2\r\n", "").substr(0, replyText("Content-Length: 2\r\n", "").size() - 2), AfterReply::Close, ReplyOutcome::Lost },
+        { "cut before the empty line, without a length", replyText("", "").substr(0, replyText("", "").size() - 2), AfterReply::Close, ReplyOutcome::Lost },
+        { "cut within a length of chunks", replyText("Transfer-Encoding: chunked\r\n", "2\r\nok\r\n0"), AfterReply::Close, ReplyOutcome::Lost },
         { "closed without a byte", "", AfterReply::Close, ReplyOutcome::Lost },
     };
     for (const Case& each : cases) {
@@ -276,6 +283,17 @@
     // An invalid entry defines no target and does not affect the others.
     store.put("servers/forged", "{\"service\":\"s\"}");
     CHECK(requestAndWait("/r/x", "fourth").status == 200);
+    // Nor do entries with extreme values; a later configuration is followed.
+    int oddCount = 0;
+    for (const auto& [name, value] : oddEntries(entry))
+        store.put("servers/odd-" + std::to_string(++oddCount), value);
+    configuration["version"] = 2;
+    configuration["routes"].push_back(configuration["routes"][0]);
+    configuration["routes"][1]["name"] = "later";
+    configuration["routes"][1]["prefix"] = "/later/";
+    store.put("op/config", configuration.dump());
+    REQUIRE(loop.until([&] { return requestAndWait("/later/x", "later").status == 200; }));
+    CHECK(requestAndWait("/r/x", "afterOdd").status == 200);
     // A caller disconnects: its request is aborted at the target.
     slow = true;
     {
