Heed a target that states that it stops, or for how long it refuses requests

What callers would see: requests go on to a target that says in its replies that it is about to stop, as long as the store doesn't say so, and end with it; and to one that refuses with Retry-After, which costs it work and the callers time.

Cause: neither statement was read. Class: what a target says of itself was known only from the store.

One that refuses with Retry-After gets nothing from this host until then; a shorter time stated later doesn't end an earlier one, a restart does. If all targets of a call refuse, it is refused at once, with the shortest of their times. Both are kept together, since the pool asks them at the same place.

--- a/Pimentopoint/src/Net/HttpText.cpp
+++ b/Pimentopoint/src/Net/HttpText.cpp
@@ -79,6 +79,13 @@
     return valid ? std::optional(rate) : std::nullopt;
 }
 
+std::optional<Duration> parseRetryAfter(std::string_view value)
+{
+    constexpr double maxSeconds = 3600;
+    auto seconds = parseRate(value);
+    return seconds ? std::optional(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(*seconds, maxSeconds)))) : std::nullopt;
+}
+
 std::optional<std::vector<std::size_t>> parseNumbers(std::string_view value)
 {
     std::vector<std::size_t> numbers;
--- a/Pimentopoint/src/Net/HttpText.h
+++ b/Pimentopoint/src/Net/HttpText.h
@@ -28,6 +28,8 @@
 std::optional<std::uint64_t> parseNumber(std::string_view value);
 /// \returns the decimal number in \a value, which must be finite and not negative; nothing if it is anything else
 std::optional<double> parseRate(std::string_view value);
+/// \returns the time in \a value, a number of seconds, at most an hour; nothing if it is anything else, for example a date
+std::optional<Duration> parseRetryAfter(std::string_view value);
 
 /// \returns the comma-separated numbers in \a value, which may be empty, or nothing if \a value is not such a list
 std::optional<std::vector<std::size_t>> parseNumbers(std::string_view value);
--- a/Pimentopoint/src/Net/TargetConnection.cpp
+++ b/Pimentopoint/src/Net/TargetConnection.cpp
@@ -28,6 +28,7 @@
     constexpr std::uint32_t maxHeaderBytes = std::uint32_t(32) * 1024;
     /// Status with which a target refuses a request that is meant for another target.
     constexpr unsigned misdirected = 421;
+    constexpr unsigned unavailable = 503;
 
     bool hasHeader(const http::fields& fields, const std::string& name)
     {
@@ -254,7 +255,6 @@
 
 bool TargetConnection::parseAggregate(TargetReply& reply) const
 {
-    constexpr unsigned unavailable = 503;
     const auto& message = m_parser->get();
     // A host replies with 503 only to requests that it did not run.
     reply.notRun = reply.status == unavailable;
@@ -274,6 +274,9 @@
     reply.status = message.result_int();
     reply.notRun = hasHeader(message, m_headerNames.notRun) || reply.status == misdirected;
     reply.addressReused = reply.status == misdirected;
+    reply.leaving = headerValue(message, m_headerNames.leaving) == "1";
+    if (reply.status == unavailable)
+        reply.retryAfter = parseRetryAfter(headerValue(message, "Retry-After"));
     reply.rateLimit = parseRate(headerValue(message, m_headerNames.rateLimit));
     auto signature = message.find(m_headerNames.signature);
     if (signature != message.end())
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -76,7 +76,7 @@
 {
     std::vector<Duration> waits;
     for (std::size_t i = 0; i < m_subRequests.size(); ++i) {
-        if (auto wait = environment.rateLimitWait(i, now))
+        if (auto wait = environment.limitWait(i, now))
             waits.push_back(*wait);
     }
     std::size_t possible = m_subRequests.size() - waits.size();
@@ -88,7 +88,7 @@
     while (needed + 1 < waits.size() && !coverageSuffices(possible + needed + 1))
         ++needed;
     m_retryDelay = std::max(refusalRetryDelay, waits[needed]);
-    m_abortReason = "rate limits of the targets are reached";
+    m_abortReason = "limits that the targets stated are reached";
     finish(environment, now);
 }
 
@@ -106,7 +106,7 @@
         subRequest.waiting = subRequest.outstanding.empty();
         return;
     case CallEnvironment::AttemptResult::Limited:
-        if (auto wait = environment.rateLimitWait(index, now))
+        if (auto wait = environment.limitWait(index, now))
             m_retryDelay = std::max(m_retryDelay, *wait);
         [[fallthrough]];
     case CallEnvironment::AttemptResult::NoTarget:
--- a/Pimentopoint/src/Serve/CallRun.h
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -19,16 +19,16 @@
     enum class AttemptResult : std::uint8_t {
         Started,
         Saturated, ///< Every usable target has all its connections in use.
-        Limited, ///< This host's share of the rate limits of all usable targets is used up.
+        Limited, ///< All usable targets have stated limits that allow no request of this host now.
         NoTarget, ///< No target is usable.
         ExtraDenied, ///< The extra attempt exceeds the budget, or it is a hedge and no healthy target is left.
     };
     /// \brief Sends sub-request \a index to a target that has not been tried for it yet.
     /// \param extra whether the attempt is charged to the budget of extra attempts
     virtual AttemptResult startAttempt(std::size_t index, bool extra, Instant now) = 0;
-    /// \brief Time until sub-request \a index can be sent, as far as the rate limits of its targets decide it.
+    /// \brief Time until sub-request \a index can be sent, as far as limits that its targets stated decide it.
     /// \returns nothing if they do not prevent it now
-    virtual std::optional<Duration> rateLimitWait(std::size_t index, Instant now) = 0;
+    virtual std::optional<Duration> limitWait(std::size_t index, Instant now) = 0;
     /// Sub-requests that an aggregator runs for this host.
     struct DelegatedGroup {
         AttemptNumber attempt;
@@ -103,7 +103,7 @@
 
 private:
     void failDelegated();
-    /// Refuses the call if rate limits prevent so many of its sub-requests that the others would not suffice.
+    /// Refuses the call if limits that targets stated prevent so many of its sub-requests that the others would not suffice.
     void refuseIfLimited(CallEnvironment& environment, Instant now);
     void tryAttempt(CallEnvironment& environment, std::size_t index, bool extra, Instant now);
     void retry(CallEnvironment& environment, std::size_t index, Instant now);
--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -169,7 +169,8 @@
 {
     if (m_excludedDataCentres.contains(state.target.dataCentre))
         return false;
-    return !state.leavingSince || now - *state.leavingSince < m_timing.leavingUseTimeout;
+    auto maySend = [&](const std::optional<Instant>& since) { return !since || now - *since < m_timing.leavingUseTimeout; };
+    return maySend(state.leavingSince) && maySend(state.statedLeavingAt);
 }
 
 double TargetPool::score(TargetState& state, Instant now)
@@ -185,7 +186,7 @@
         value += stalledPenalty;
     if (now < state.avoidUntil)
         value += avoidedPenalty;
-    if (state.leavingSince)
+    if (isLeaving(state))
         value += leavingPenalty;
     return value;
 }
@@ -207,7 +208,7 @@
             status = ChoiceStatus::Saturated;
             continue;
         }
-        if (!rateLimitAllows(group, state, now)) {
+        if (!acceptsRequest(group, state, now)) {
             if (status == ChoiceStatus::NoTarget)
                 status = ChoiceStatus::Limited;
             continue;
@@ -266,7 +267,7 @@
     if (!outstanding)
         return;
     if (reply.outcome == TargetReply::ReplyOutcome::Answered && !reply.addressReused)
-        recordRateLimit(state, reply.rateLimit, now);
+        recordStatements(state, reply, now);
     Duration backoff = std::min(m_timing.maxBackoff, m_timing.initialBackoff * (1U << std::min(state.consecutiveFailures, 5U)));
     if (reply.addressReused) {
         m_observer(name, "target-replaced", "another target now has its address");
@@ -315,23 +316,41 @@
     ++m_limitedCount;
 }
 
-bool TargetPool::rateLimitAllows(const ServiceGroup& group, TargetState& state, Instant now)
+void TargetPool::recordStatements(TargetState& state, const TargetReply& reply, Instant now)
 {
+    recordRateLimit(state, reply.rateLimit, now);
+    if (reply.leaving && !state.statedLeavingAt) {
+        state.statedLeavingAt = now;
+        m_observer(state.target.name, "target-leaving", "target states in its replies that it is about to stop");
+    }
+    if (!reply.retryAfter || now + *reply.retryAfter <= state.refusesUntil)
+        return;
+    state.refusesUntil = now + *reply.retryAfter;
+    m_latestRefusalEnd = std::max(m_latestRefusalEnd, state.refusesUntil);
+    m_observer(state.target.name, "target-refuses", "for " + std::to_string(reply.retryAfter->count()) + " microseconds");
+}
+
+bool TargetPool::acceptsRequest(const ServiceGroup& group, TargetState& state, Instant now)
+{
+    if (now < state.refusesUntil)
+        return false;
     if (!state.rateLimit)
         return true;
     state.rateLimit->setFraction(group.hostFraction, now);
     return state.rateLimit->allows(now) || (state.rateLimit->expired(now) && state.outstanding.empty());
 }
 
-Duration TargetPool::rateLimitWait(const ServiceName& service, Instant now)
+Duration TargetPool::limitWait(const ServiceName& service, Instant now)
 {
     Duration wait = Duration::max();
     auto found = m_groups.find(service);
     if (found == m_groups.end())
         return Duration(0);
     for (TargetState* state : found->second.targets) {
-        if (state->rateLimit && isUsable(*state, now))
-            wait = std::min(wait, state->rateLimit->wait(now));
+        if (!isUsable(*state, now) || (!state->rateLimit && now >= state->refusesUntil))
+            continue;
+        Duration limited = state->rateLimit ? state->rateLimit->wait(now) : Duration(0);
+        wait = std::min(wait, std::max(limited, state->refusesUntil - now));
     }
     return wait == Duration::max() ? Duration(0) : wait;
 }
@@ -361,7 +380,7 @@
     for (auto& [service, group] : m_groups) {
         if (!group.routed)
             continue;
-        auto isHealthy = [&](const TargetState* state) { return isUsable(*state, now) && !state->leavingSince && now >= state->avoidUntil && now >= state->coldUntil && now >= state->connectAfter; };
+        auto isHealthy = [&](const TargetState* state) { return isUsable(*state, now) && !isLeaving(*state) && now >= state->avoidUntil && now >= state->coldUntil && now >= state->connectAfter; };
         auto isLocal = [&](const TargetState* state) { return state->target.dataCentre == m_localDataCentre; };
         bool anyConnected = std::any_of(group.targets.begin(), group.targets.end(), [&](const TargetState* state) { return isHealthy(state) && state->openConnections; });
         for (TargetState* state : group.targets) {
@@ -385,7 +404,7 @@
             continue;
         std::set<DataCentreName> dataCentres;
         for (const TargetState* state : found->second.targets) {
-            if (isUsable(*state, now) && !state->leavingSince && now >= state->avoidUntil)
+            if (isUsable(*state, now) && !isLeaving(*state) && now >= state->avoidUntil)
                 dataCentres.insert(state->target.dataCentre);
         }
         bool remoteOnly = !dataCentres.empty() && !dataCentres.contains(m_localDataCentre);
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -40,7 +40,7 @@
     enum class ChoiceStatus : std::uint8_t {
         Chosen,
         Saturated, ///< All connections that this host may use are in use.
-        Limited, ///< This host's share of the rate limits of all usable targets is used up.
+        Limited, ///< All usable targets have stated limits that allow no request of this host now.
         NoTarget, ///< No target is usable.
     };
     struct Choice {
@@ -65,10 +65,10 @@
 
     /// \returns the best target of \a service that is not in \a tried, or nothing; \a status is set to the reason
     std::optional<Choice> choose(const ServiceName& service, const std::vector<TargetName>& tried, Instant now, ChoiceStatus& status);
-    /// \returns whether any target is known to limit the rate of its requests
-    bool hasRateLimits() const { return m_limitedCount > 0; }
+    /// \returns whether any target is known to limit the requests that it accepts
+    bool hasRequestLimits(Instant now) const { return m_limitedCount || now < m_latestRefusalEnd; }
     /// \returns the time until this host may send to a target of \a service again after choose() found them limited
-    Duration rateLimitWait(const ServiceName& service, Instant now);
+    Duration limitWait(const ServiceName& service, Instant now);
     /// Records the start of \a attempt, which is expected to take \a expectedLatency and is a straggler after \a stragglerThreshold.
     void recordAttempt(const TargetName& name, AttemptNumber attempt, Duration expectedLatency, Duration stragglerThreshold, Instant now);
     void recordReply(const TargetName& name, AttemptNumber attempt, const TargetReply& reply, Instant now);
@@ -99,7 +99,9 @@
     };
     struct TargetState {
         DiscoveredTarget target;
-        std::optional<Instant> leavingSince;
+        std::optional<Instant> leavingSince; ///< Set while the target's entry says that it is draining, or is missing.
+        std::optional<Instant> statedLeavingAt; ///< Time of the first reply in which the target stated that it is about to stop.
+        Instant refusesUntil {}; ///< Time until which the target accepts no requests from this host, as it stated in a refusal.
         Instant coldUntil {};
         double coldCredit = 0; ///< Requests that this host may send to the target now while it is cold.
         std::optional<Instant> coldCreditAt; ///< Time of the latest update of \c coldCredit.
@@ -126,7 +128,10 @@
 
     void recordRateLimit(TargetState& state, std::optional<double> limit, Instant now);
     void clearRateLimit(TargetState& state);
-    bool rateLimitAllows(const ServiceGroup& group, TargetState& state, Instant now);
+    bool acceptsRequest(const ServiceGroup& group, TargetState& state, Instant now);
+    void recordStatements(TargetState& state, const TargetReply& reply, Instant now);
+    /// \returns whether the target is about to stop, by its entry or by its replies
+    static bool isLeaving(const TargetState& state) { return state.leavingSince || state.statedLeavingAt; }
     static bool hasStalledRequest(const TargetState& state, Instant now);
     void decay(TargetState& state, Instant now) const;
     void recordFailure(TargetState& state, Duration backoff, std::string_view reason, Instant now);
@@ -148,6 +153,7 @@
     double m_fanOutFraction = 1; ///< This host's fraction of the connections to a target of a fan-out.
     std::set<ServiceName> m_routedServices; ///< Services that routes use.
     std::set<ServiceName> m_shardServices; ///< Services that are shards of a fan-out.
+    Instant m_latestRefusalEnd {}; ///< Latest end of the times for which targets refuse requests from this host.
     std::size_t m_limitedCount = 0; ///< Number of targets that are known to limit the rate of their requests.
     std::map<TargetName, TargetState> m_targets;
     std::unordered_map<ServiceName, ServiceGroup> m_groups;
--- a/Pimentopoint/src/Serve/TargetReply.h
+++ b/Pimentopoint/src/Serve/TargetReply.h
@@ -26,6 +26,8 @@
     bool notRun = false; ///< Whether the target states that it did not run the request.
     bool addressReused = false; ///< Whether another target now has the address.
     std::string signature; ///< The target's signature of the reply; empty if the reply has none.
+    bool leaving = false; ///< Whether the target states that it is about to stop.
+    std::optional<Duration> retryAfter; ///< In a refusal: time for which the target accepts no requests from this host; nothing if it states none.
     std::optional<double> rateLimit; ///< Requests per second that the target accepts from all hosts together; nothing if it states no limit.
     HeaderList headers; ///< Headers that are passed to the caller.
     std::string body;
--- a/Pimentopoint/src/Serve/internal/CallEngineEnvironment.cpp
+++ b/Pimentopoint/src/Serve/internal/CallEngineEnvironment.cpp
@@ -43,14 +43,14 @@
     return AttemptResult::Started;
 }
 
-std::optional<Duration> CallEngine::Environment::rateLimitWait(std::size_t index, Instant now)
+std::optional<Duration> CallEngine::Environment::limitWait(std::size_t index, Instant now)
 {
-    if (!m_engine.m_pool.hasRateLimits())
+    if (!m_engine.m_pool.hasRequestLimits(now))
         return std::nullopt;
     const SubRequest& subRequest = m_run.subRequest(index);
     TargetPool::ChoiceStatus status = TargetPool::ChoiceStatus::Chosen;
     m_engine.m_pool.choose(subRequest.service, subRequest.triedTargets, now, status);
-    return status == TargetPool::ChoiceStatus::Limited ? std::optional(m_engine.m_pool.rateLimitWait(subRequest.service, now)) : std::nullopt;
+    return status == TargetPool::ChoiceStatus::Limited ? std::optional(m_engine.m_pool.limitWait(subRequest.service, now)) : std::nullopt;
 }
 
 std::optional<CallEnvironment::DelegatedGroup> CallEngine::Environment::delegate(Instant now)
--- a/Pimentopoint/src/Serve/internal/CallEngineEnvironment.h
+++ b/Pimentopoint/src/Serve/internal/CallEngineEnvironment.h
@@ -18,7 +18,7 @@
     }
 
     AttemptResult startAttempt(std::size_t index, bool extra, Instant now) override;
-    std::optional<Duration> rateLimitWait(std::size_t index, Instant now) override;
+    std::optional<Duration> limitWait(std::size_t index, Instant now) override;
     std::optional<DelegatedGroup> delegate(Instant now) override;
     void release(AttemptNumber attempt, bool unresponsive, Instant now) override;
 
--- a/test/PoolTest.cpp
+++ b/test/PoolTest.cpp
@@ -102,6 +102,58 @@
     }
 }
 
+TEST_CASE("A target that states in a reply that it is about to stop is used only for a limited time, whatever its entry says")
+{
+    struct Case {
+        const char* name;
+        TargetReply reply;
+    };
+    for (Case each : { Case { "in a success", EngineFixture::ok("x") }, Case { "in a refusal", EngineFixture::refused() } }) {
+        INFO(each.name);
+        PoolFixture fixture;
+        fixture.pool.put(makeTarget("one", 1), millisecond(0));
+        each.reply.leaving = true;
+        CHECK(fixture.exchange(0, each.reply) == first);
+        int limit = 10 + static_cast<int>(TargetPoolTiming().leavingUseTimeout / std::chrono::milliseconds(1));
+        CHECK(fixture.choose(limit - 1));
+        // Its entry is written again and still says that it is ready.
+        fixture.pool.put(makeTarget("one", 1), millisecond(500));
+        CHECK_FALSE(fixture.choose(limit));
+        CHECK(fixture.status == TargetPool::ChoiceStatus::NoTarget);
+        // A target that takes its place under the same name is another one.
+        DiscoveredTarget restarted = makeTarget("one", 1);
+        restarted.startedAt = 5;
+        fixture.pool.put(restarted, millisecond(limit));
+        CHECK(fixture.choose(limit));
+    }
+}
+
+TEST_CASE("A target that refuses with a retry time gets no request from this host until then, unless it restarts")
+{
+    PoolFixture fixture;
+    fixture.pool.put(makeTarget("one", 1), millisecond(0));
+    TargetReply refusal = EngineFixture::refused();
+    refusal.retryAfter = std::chrono::seconds(2);
+    // A shorter time stated later doesn't end the first one.
+    AttemptNumber other(1000);
+    fixture.pool.recordAttempt(first, other, std::chrono::milliseconds(10), std::chrono::milliseconds(30), millisecond(0));
+    CHECK(fixture.exchange(0, refusal) == first);
+    refusal.retryAfter = std::chrono::milliseconds(100);
+    fixture.pool.recordReply(first, other, refusal, millisecond(20));
+    for (int time : { 10, 500, 1500, 2009 }) {
+        CHECK_FALSE(fixture.choose(time));
+        CHECK(fixture.status == TargetPool::ChoiceStatus::Limited);
+        CHECK(fixture.pool.limitWait(ServiceName("one"), millisecond(time)) == std::chrono::milliseconds(2010 - time));
+    }
+    CHECK(fixture.choose(2010));
+    refusal.retryAfter = std::chrono::seconds(2);
+    CHECK(fixture.exchange(3000, refusal) == first);
+    DiscoveredTarget restarted = makeTarget("one", 1);
+    restarted.startedAt = 5;
+    fixture.pool.put(restarted, millisecond(3100));
+    CHECK(fixture.choose(3100));
+}
+
 TEST_CASE("Targets of an evacuated data centre are not chosen even if no other is usable")
 {
     PoolFixture fixture;
--- a/test/RateLimitTest.cpp
+++ b/test/RateLimitTest.cpp
@@ -177,3 +177,28 @@
         CHECK(answer->missingShards == (refused ? 0 : limitedShards));
     }
 }
+
+TEST_CASE("A call whose targets all refuse with a retry time is refused at once, with the shortest of these times")
+{
+    EngineFixture fixture({ singleRoute("one") });
+    fixture.pool.put(makeTarget("one", 1), millisecond(0));
+    fixture.pool.put(makeTarget("one", 2), millisecond(0));
+    TargetReply refusal = EngineFixture::refused();
+    for (Duration retryAfter : { Duration(900ms), Duration(700ms) }) {
+        CallId call = fixture.sendRequest("single.example", millisecond(0));
+        REQUIRE(fixture.attempts.size() == 1);
+        refusal.retryAfter = retryAfter;
+        AttemptNumber attempt = fixture.attempts.begin()->first;
+        fixture.reply(attempt, refusal, millisecond(0));
+        if (!fixture.attempts.empty()) {
+            AttemptNumber retry = fixture.attempts.begin()->first;
+            fixture.reply(retry, EngineFixture::ok("x"), millisecond(0));
+        }
+        CHECK(fixture.answers.contains(call));
+    }
+    CallId call = fixture.sendRequest("single.example", millisecond(100));
+    CHECK(fixture.attempts.empty());
+    REQUIRE(fixture.answers.contains(call));
+    CHECK(fixture.answers[call].status == 503);
+    CHECK(fixture.answers[call].retryAfter == Duration(600ms));
+}
