Keep what a target states of itself in a class of its own

TargetStatements records them and decides what they allow; the pool asks it. A new test reads the statements from real replies, with values that are no numbers, negative or endless.

--- a/Pimentopoint/src/Serve/TargetPool.cpp
+++ b/Pimentopoint/src/Serve/TargetPool.cpp
@@ -49,7 +49,6 @@
     if (restarted) {
         m_observer(target.name, "target-restarted", target.endpoint.text());
         removeFromGroup(state);
-        clearRateLimit(state);
         state = TargetState();
     }
     if (added || restarted) {
@@ -140,6 +139,7 @@
 
 void TargetPool::removeFromGroup(TargetState& state)
 {
+    m_limitedCount -= state.statements.hasRateLimit();
     auto found = m_groups.find(state.target.service);
     if (found == m_groups.end())
         return;
@@ -170,7 +170,7 @@
     if (m_excludedDataCentres.contains(state.target.dataCentre))
         return false;
     auto maySend = [&](const std::optional<Instant>& since) { return !since || now - *since < m_timing.leavingUseTimeout; };
-    return maySend(state.leavingSince) && maySend(state.statedLeavingAt);
+    return maySend(state.leavingSince) && maySend(state.statements.leavingSince());
 }
 
 double TargetPool::score(TargetState& state, Instant now)
@@ -208,7 +208,7 @@
             status = ChoiceStatus::Saturated;
             continue;
         }
-        if (!acceptsRequest(group, state, now)) {
+        if (!state.statements.accepts(group.hostFraction, state.outstanding.empty(), now)) {
             if (status == ChoiceStatus::NoTarget)
                 status = ChoiceStatus::Limited;
             continue;
@@ -232,8 +232,7 @@
         return;
     TargetState& state = found->second;
     state.outstanding.push_back({ attempt, now, expectedLatency, stragglerThreshold });
-    if (state.rateLimit)
-        state.rateLimit->recordRequest(now);
+    state.statements.recordRequest(now);
     if (state.coldCreditAt && now < state.coldUntil)
         state.coldCredit -= 1;
 }
@@ -291,53 +290,14 @@
     }
 }
 
-void TargetPool::clearRateLimit(TargetState& state)
-{
-    m_limitedCount -= state.rateLimit.has_value();
-    state.rateLimit.reset();
-}
-
-void TargetPool::recordRateLimit(TargetState& state, std::optional<double> limit, Instant now)
-{
-    if (!limit) {
-        if (state.rateLimit)
-            m_observer(state.target.name, "target-limit", "target states no limit any more");
-        clearRateLimit(state);
-        return;
-    }
-    if (!state.rateLimit || state.rateLimit->limit() != *limit)
-        m_observer(state.target.name, "target-limit", std::to_string(*limit) + " requests per second over all hosts");
-    if (state.rateLimit) {
-        state.rateLimit->setLimit(*limit, now);
-        return;
-    }
-    auto group = m_groups.find(state.target.service);
-    state.rateLimit.emplace(*limit, group == m_groups.end() ? 1 : group->second.hostFraction, m_random.fraction(), now);
-    ++m_limitedCount;
-}
-
 void TargetPool::recordStatements(TargetState& state, const TargetReply& reply, Instant now)
 {
-    recordRateLimit(state, reply.rateLimit, now);
-    if (reply.leaving && !state.statedLeavingAt) {
-        state.statedLeavingAt = now;
-        m_observer(state.target.name, "target-leaving", "target states in its replies that it is about to stop");
-    }
-    if (!reply.retryAfter || now + *reply.retryAfter <= state.refusesUntil)
-        return;
-    state.refusesUntil = now + *reply.retryAfter;
-    m_latestRefusalEnd = std::max(m_latestRefusalEnd, state.refusesUntil);
-    m_observer(state.target.name, "target-refuses", "for " + std::to_string(reply.retryAfter->count()) + " microseconds");
-}
-
-bool TargetPool::acceptsRequest(const ServiceGroup& group, TargetState& state, Instant now)
-{
-    if (now < state.refusesUntil)
-        return false;
-    if (!state.rateLimit)
-        return true;
-    state.rateLimit->setFraction(group.hostFraction, now);
-    return state.rateLimit->allows(now) || (state.rateLimit->expired(now) && state.outstanding.empty());
+    auto group = m_groups.find(state.target.service);
+    double hostFraction = group == m_groups.end() ? 1 : group->second.hostFraction;
+    m_limitedCount -= state.statements.hasRateLimit();
+    state.statements.record(reply, hostFraction, m_random.fraction(), now, [&](std::string_view event, const std::string& detail) { m_observer(state.target.name, event, detail); });
+    m_limitedCount += state.statements.hasRateLimit();
+    m_latestRefusalEnd = std::max(m_latestRefusalEnd, state.statements.refusesUntil());
 }
 
 Duration TargetPool::limitWait(const ServiceName& service, Instant now)
@@ -347,10 +307,8 @@
     if (found == m_groups.end())
         return Duration(0);
     for (TargetState* state : found->second.targets) {
-        if (!isUsable(*state, now) || (!state->rateLimit && now >= state->refusesUntil))
-            continue;
-        Duration limited = state->rateLimit ? state->rateLimit->wait(now) : Duration(0);
-        wait = std::min(wait, std::max(limited, state->refusesUntil - now));
+        if (isUsable(*state, now))
+            wait = std::min(wait, state->statements.wait(now).value_or(Duration::max()));
     }
     return wait == Duration::max() ? Duration(0) : wait;
 }
@@ -423,10 +381,8 @@
     for (auto each = m_targets.begin(); each != m_targets.end();) {
         TargetState& state = each->second;
         bool expired = state.leavingSince && state.outstanding.empty() && now - *state.leavingSince >= m_timing.removalTimeout;
-        if (expired) {
+        if (expired)
             removeFromGroup(state);
-            clearRateLimit(state);
-        }
         each = expired ? m_targets.erase(each) : std::next(each);
     }
 }
--- a/Pimentopoint/src/Serve/TargetPool.h
+++ b/Pimentopoint/src/Serve/TargetPool.h
@@ -2,10 +2,10 @@
 
 #include "../Core/Random.h"
 #include "DiscoveredTarget.h"
-#include "RateLimitShare.h"
 #include "RoutingTable.h"
 #include "ShardAvailability.h"
 #include "TargetReply.h"
+#include "TargetStatements.h"
 
 #include <functional>
 #include <map>
@@ -100,8 +100,7 @@
     struct TargetState {
         DiscoveredTarget target;
         std::optional<Instant> leavingSince; ///< Set while the target's entry says that it is draining, or is missing.
-        std::optional<Instant> statedLeavingAt; ///< Time of the first reply in which the target stated that it is about to stop.
-        Instant refusesUntil {}; ///< Time until which the target accepts no requests from this host, as it stated in a refusal.
+        TargetStatements statements;
         Instant coldUntil {};
         double coldCredit = 0; ///< Requests that this host may send to the target now while it is cold.
         std::optional<Instant> coldCreditAt; ///< Time of the latest update of \c coldCredit.
@@ -112,7 +111,6 @@
         double failureRate = 0; ///< Recent fraction of failures, 0 to 1.
         Instant decayedAt {};
         unsigned consecutiveFailures = 0;
-        std::optional<RateLimitShare> rateLimit; ///< Share of the limit that the target's latest reply states; nothing if it states none.
         Instant avoidUntil {};
     };
 
@@ -126,12 +124,9 @@
         double coldRequestsPerSecond = 0; ///< Limit for one cold target over all hosts together; 0: none.
     };
 
-    void recordRateLimit(TargetState& state, std::optional<double> limit, Instant now);
-    void clearRateLimit(TargetState& state);
-    bool acceptsRequest(const ServiceGroup& group, TargetState& state, Instant now);
     void recordStatements(TargetState& state, const TargetReply& reply, Instant now);
     /// \returns whether the target is about to stop, by its entry or by its replies
-    static bool isLeaving(const TargetState& state) { return state.leavingSince || state.statedLeavingAt; }
+    static bool isLeaving(const TargetState& state) { return state.leavingSince || state.statements.leavingSince(); }
     static bool hasStalledRequest(const TargetState& state, Instant now);
     void decay(TargetState& state, Instant now) const;
     void recordFailure(TargetState& state, Duration backoff, std::string_view reason, Instant now);
--- a/test/EdgeTest.cpp
+++ b/test/EdgeTest.cpp
@@ -140,6 +140,51 @@
     }
 }
 
+TEST_CASE("What a target states of itself is read from its reply")
+{
+    struct Case {
+        const char* name;
+        const char* status;
+        std::string headers;
+        std::optional<double> rateLimit;
+        bool leaving;
+        std::optional<Duration> retryAfter;
+    };
+    const std::string limit = platform::headerNames().rateLimit;
+    const std::string leaving = platform::headerNames().leaving;
+    const Case cases[] = {
+        { "nothing", "200 OK", "", std::nullopt, false, std::nullopt },
+        { "a limit", "200 OK", limit + ": 31.9\r\n", 31.9, false, std::nullopt },
+        { "a limit of 0", "500 Failed", limit + ": 0\r\n", 0, false, std::nullopt },
+        { "limits that are no decimal numbers", "200 OK", limit + ": 1e999\r\n", std::nullopt, false, std::nullopt },
+        { "a negative limit", "200 OK", limit + ": -1\r\n", std::nullopt, false, std::nullopt },
+        { "a limit that is not a number", "200 OK", limit + ": nan\r\n", std::nullopt, false, std::nullopt },
+        { "that it stops", "200 OK", leaving + ": 1\r\n", std::nullopt, true, std::nullopt },
+        { "that it does not stop", "200 OK", leaving + ": 0\r\n", std::nullopt, false, std::nullopt },
+        { "a retry time in a refusal", "503 Unavailable", "Retry-After: 1.5\r\n", std::nullopt, false, Duration(std::chrono::milliseconds(1500)) },
+        { "a retry time in a success", "200 OK", "Retry-After: 1.5\r\n", std::nullopt, false, std::nullopt },
+        { "a date to retry at", "503 Unavailable", "Retry-After: Wed, 21 Oct 2026 07:28:00 GMT\r\n", std::nullopt, false, std::nullopt },
+        { "an endless retry time", "503 Unavailable", "Retry-After: 1e300\r\n", std::nullopt, false, Duration(std::chrono::hours(1)) },
+    };
+    for (const Case& each : cases) {
+        INFO(each.name);
+        Loop loop;
+        std::uint16_t port = freePort();
+        std::string text = replyText(each.headers + "Content-Length: 2\r\n", "ok");
+        text.replace(text.find("200 OK"), std::string("200 OK").size(), each.status);
+        RawServer server(loop, port, text, RawServer::AfterReply::Stay);
+        std::optional<TargetReply> reply;
+        TargetConnectionPool connections(
+            loop.context, loop.clock, platform::headerNames(), loop.metrics, [&](AttemptNumber, TargetReply received) { reply = std::move(received); }, [](const TargetName&, std::size_t) {});
+        connections.send(sendTo(Endpoint(loopback, port), loop.clock));
+        REQUIRE(loop.until([&] { return reply.has_value(); }));
+        CHECK(reply->outcome == TargetReply::ReplyOutcome::Answered);
+        CHECK(reply->rateLimit == each.rateLimit);
+        CHECK(reply->leaving == each.leaving);
+        CHECK(reply->retryAfter == each.retryAfter);
+    }
+}
+
 TEST_CASE("A complete reply keeps the connection open, and further bytes after it close the connection")
 {
     for (bool extra : { false, true }) {
