Remove timeouts of the follower that its owner overrides

UpdateRelay sets the wait and the timeout of each read by the age of what is known; StoreFollower still set others before, which no read used. No behaviour changes.

--- a/Pimentopoint/src/Serve/StoreFollower.cpp
+++ b/Pimentopoint/src/Serve/StoreFollower.cpp
@@ -27,12 +27,9 @@
         read.kind = StoreRead::Kind::Page;
         read.afterKey = m_afterKey;
         read.mayBeStale = m_mayBeStale;
-        read.timeout = m_timing.readTimeout;
     } else {
         read.kind = StoreRead::Kind::Watch;
         read.afterRevision = m_revision;
-        read.wait = m_timing.watchWait;
-        read.timeout = m_timing.watchWait + m_timing.watchMargin;
     }
     return read;
 }
--- a/Pimentopoint/src/Serve/StoreFollower.h
+++ b/Pimentopoint/src/Serve/StoreFollower.h
@@ -58,9 +58,6 @@
 
 /// Intervals of a StoreFollower.
 struct StoreTiming {
-    Duration watchWait = std::chrono::seconds(3); ///< Longest wait of a watch; short enough that updates arrive in time even after a lost reply.
-    Duration watchMargin = std::chrono::milliseconds(800); ///< Time allowed for the reply to a watch beyond its wait; a slow store takes some hundred milliseconds.
-    Duration readTimeout = std::chrono::milliseconds(1000); ///< Timeout of a page; a slow store takes some hundred milliseconds.
     Duration batchInterval = std::chrono::milliseconds(150); ///< Interval between watches after an update, so that a series of changes arrives as one reply.
     Duration initialRetryDelay = std::chrono::milliseconds(100); ///< Largest delay after the first failure.
     Duration maxRetryDelay = std::chrono::milliseconds(500); ///< Largest delay after any failure, so that a store that recovers is read within a second.
@@ -76,7 +73,7 @@
 public:
     StoreFollower(std::string prefix, StoreTiming timing, std::uint64_t seed);
 
-    /// \returns the read to start at \a now, or nothing while one is outstanding or none is due
+    /// \returns the read to start at \a now, whose wait and timeout the caller sets, or nothing while one is outstanding or none is due
     std::optional<StoreRead> beginRead(Instant now);
     StoreUpdate handleResult(StoreResult result, Instant now);
     /// Ends the outstanding read without a result, so that the next one may start at once.
