Allocate memory for a target's reply as its bytes arrive, not for the length that it states

In eager mode put() goes on if bytes of the body came with the head, the error is overwritten, and string_body reserves the stated length: std::bad_alloc leaves EdgeHost::run. With a length that can be allocated (4 GB) the limit of 8 MB is not enforced at all.

Change: ReplyParser parses a reply step by step (not eager), so that the limit's error is seen, and ReplyBody grows with the bytes that arrive. Both are needed: the first enforces the limit, the second keeps a length within the limit from reserving memory. TargetConnection uses it; a new parser after an interim reply has the same limits and skips the body of a reply to HEAD.

--- /dev/null
+++ b/Pimentopoint/src/Net/ReplyParser.cpp
@@ -0,0 +1,54 @@
+#include "ReplyParser.h"
+
+namespace pimentopoint {
+
+namespace http = boost::beast::http;
+
+ReplyParser::ReplyParser(Limits limits, bool hasBody)
+    : m_limits(limits)
+    , m_hasBody(hasBody)
+{
+    beginReply();
+}
+
+void ReplyParser::beginReply()
+{
+    m_parser.emplace();
+    // Eager parsing would go on after the stated length was found to exceed the body limit (Boost 1.74).
+    m_parser->eager(false);
+    m_parser->header_limit(m_limits.headBytes);
+    m_parser->body_limit(m_limits.bodyBytes);
+    m_parser->skip(!m_hasBody);
+}
+
+ReplyParser::Progress ReplyParser::put(std::string_view bytes)
+{
+    constexpr unsigned firstFinalStatus = 200;
+    if (m_parser->is_done())
+        beginReply();
+    m_input.append(bytes);
+    std::size_t parsed = 0;
+    while (parsed < m_input.size() && !m_parser->is_done()) {
+        boost::system::error_code error;
+        std::size_t consumed = m_parser->put(boost::asio::buffer(m_input) + parsed, error);
+        parsed += consumed;
+        if (error && error != http::error::need_more)
+            return Progress::Invalid;
+        if (error || !consumed)
+            break;
+    }
+    m_input.erase(0, parsed);
+    if (!m_parser->is_done())
+        return Progress::Incomplete;
+    return m_parser->get().result_int() < firstFinalStatus ? Progress::Interim : Progress::Complete;
+}
+
+ReplyParser::Progress ReplyParser::putEnd()
+{
+    boost::system::error_code error;
+    if (m_parser->got_some())
+        m_parser->put_eof(error);
+    return !error && m_parser->is_done() ? Progress::Complete : Progress::Invalid;
+}
+
+} // namespace pimentopoint
--- a/Pimentopoint/src/Net/TargetConnection.cpp
+++ b/Pimentopoint/src/Net/TargetConnection.cpp
@@ -59,12 +59,7 @@
     m_target = attempt.target;
     m_requestWritten = false;
     m_anyBytesSent = false;
-    m_parser.emplace();
-    m_parser->body_limit(maxBodyBytes);
-    m_parser->header_limit(maxHeaderBytes);
-    m_parser->eager(true);
-    if (m_attempt->request->method == "HEAD")
-        m_parser->skip(true);
+    m_parser.emplace(ReplyParser::Limits { maxHeaderBytes, maxBodyBytes }, m_attempt->request->method != "HEAD");
     if (m_connected)
         write();
     else
@@ -187,61 +182,43 @@
         return;
     }
     if (error == asio::error::eof) {
-        parse({}, true);
+        handleEnd();
         return;
     }
     if (error) {
         fail(TargetReply::ReplyOutcome::Lost, "the connection failed before the reply was complete");
         return;
     }
-    parse(bytes, false);
+    parse(bytes);
     if (!m_closed)
         read();
 }
 
-void TargetConnection::parse(std::string_view bytes, bool ended)
+void TargetConnection::parse(std::string_view bytes)
 {
-    boost::system::error_code error;
-    if (ended) {
-        m_parser->put_eof(error);
-        if (error || !m_parser->is_done())
-            fail(TargetReply::ReplyOutcome::Lost, "the connection ended before the reply was complete");
-        else
-            handleReply(false);
-        return;
-    }
-    m_input.append(bytes);
-    while (!m_input.empty() && !m_parser->is_done()) {
-        std::size_t consumed = m_parser->put(asio::buffer(m_input), error);
-        m_input.erase(0, consumed);
-        if (error == http::error::need_more)
-            return;
-        if (error) {
-            fail(TargetReply::ReplyOutcome::Lost, "the reply must be valid HTTP within the size limits");
-            return;
-        }
-        if (!consumed)
-            break;
-    }
-    if (m_parser->is_done()) {
-        constexpr unsigned firstFinal = 200;
-        if (m_parser->get().result_int() < firstFinal) {
-            if (m_attempt->delegation)
-                m_hooks.acknowledged(m_attempt->id);
-            m_parser.emplace();
-            m_parser->eager(true);
-            m_parser->body_limit(maxBodyBytes);
-            parse({}, false);
-            return;
-        }
-        handleReply(m_input.empty() && m_requestWritten && m_parser->keep_alive() && !m_parser->need_eof());
+    ReplyParser::Progress progress = m_parser->put(bytes);
+    for (; progress == ReplyParser::Progress::Interim; progress = m_parser->put({})) {
+        if (m_attempt->delegation)
+            m_hooks.acknowledged(m_attempt->id);
     }
+    if (progress == ReplyParser::Progress::Invalid)
+        fail(TargetReply::ReplyOutcome::Lost, "the reply must be valid HTTP within the size limits");
+    else if (progress == ReplyParser::Progress::Complete)
+        handleReply(m_requestWritten && m_parser->reusable());
+}
+
+void TargetConnection::handleEnd()
+{
+    if (m_parser->putEnd() == ReplyParser::Progress::Complete)
+        handleReply(false);
+    else
+        fail(TargetReply::ReplyOutcome::Lost, "the connection ended before the reply was complete");
 }
 
 Instant TargetConnection::keepAliveExpiry() const
 {
     Duration keepAlive = defaultKeepAlive;
-    std::string value(m_parser->get()[http::field::keep_alive]);
+    std::string value(m_parser->reply()[http::field::keep_alive]);
     std::size_t at = value.find("timeout=");
     if (at != std::string::npos) {
         long seconds = 0;
@@ -255,7 +232,7 @@
 
 bool TargetConnection::parseAggregate(TargetReply& reply) const
 {
-    const auto& message = m_parser->get();
+    const auto& message = m_parser->reply();
     // A host replies with 503 only to requests that it did not run.
     reply.notRun = reply.status == unavailable;
     reply.processingTime = Duration(static_cast<Duration::rep>(parseNumber(headerValue(message, host_headers::took)).value_or(0)));
@@ -268,7 +245,7 @@
 
 void TargetConnection::handleReply(bool reusable)
 {
-    const auto& message = m_parser->get();
+    const auto& message = m_parser->reply();
     TargetReply reply;
     reply.outcome = TargetReply::ReplyOutcome::Answered;
     reply.status = message.result_int();
@@ -299,7 +276,7 @@
     if (m_attempt->needsHeaders)
         reply.headers = endToEndHeaders(message, {});
     m_reusableUntil = keepAliveExpiry();
-    reply.body = std::move(m_parser->get().body());
+    reply.body = m_parser->takeBody();
     finish(std::move(reply), reusable);
 }
 
@@ -318,7 +295,6 @@
     AttemptNumber id = m_attempt->id;
     m_attempt.reset();
     m_parser.reset();
-    m_input.clear();
     auto self = shared_from_this();
     if (reusable)
         m_hooks.idle(self);
--- a/Pimentopoint/src/Net/TargetConnection.h
+++ b/Pimentopoint/src/Net/TargetConnection.h
@@ -2,11 +2,10 @@
 
 #include "../Serve/CallEngine.h"
 #include "HeaderNames.h"
+#include "ReplyParser.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -43,15 +42,14 @@
     const TargetName& target() const { return m_target; }
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
     void connect();
     void failConnect(const char* cause);
     void write();
     void handleWritten(AttemptNumber id, bool failed);
     void read();
     void handleReadable(const boost::system::error_code& error);
-    void parse(std::string_view bytes, bool ended);
+    void parse(std::string_view bytes);
+    void handleEnd();
     void handleReply(bool reusable);
     /// Parses the headers that an aggregator adds to its reply; \returns whether the number of missing shards is among them
     bool parseAggregate(TargetReply& reply) const;
@@ -72,8 +70,7 @@
     bool m_connected = false;
     bool m_closed = false;
     bool m_anyBytesSent = false;
-    std::string m_input; ///< Bytes that the parser has not consumed yet.
-    std::optional<Parser> m_parser;
+    std::optional<ReplyParser> m_parser;
     Instant m_reusableUntil {};
 };
 
--- a/test/ChildProcess.h
+++ b/test/ChildProcess.h
@@ -69,6 +69,17 @@
         m_pid = 0;
         return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
     }
+    /// \returns the most memory that the process has had resident, in megabytes; 0 if it has ended
+    double peakMegabytes() const
+    {
+        std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
+        for (std::string word; file >> word;) {
+            double kilobytes = 0;
+            if (word == "VmHWM:" && file >> kilobytes)
+                return kilobytes / 1000;
+        }
+        return 0;
+    }
     /// \returns the path of the file with the output of the process
     std::string log() const { return m_folder + "/log"; }
 
--- /dev/null
+++ b/test/EndlessReplyTest.cpp
@@ -0,0 +1,203 @@
+#include "../platform/PlatformNames.h"
+#include "../standins/StandinService.h"
+#include "../standins/StandinStore.h"
+#include "ChildProcess.h"
+#include "Ports.h"
+
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace pimentopoint;
+
+namespace {
+
+/// A target that answers each request with the same bytes, followed by a block that it sends again and again until the connection is closed.
+class FloodingTarget {
+public:
+    FloodingTarget(boost::asio::io_context& context, const Endpoint& endpoint, std::string start, std::string block)
+        : m_acceptor(listenOn(context, endpoint))
+        , m_start(std::move(start))
+        , m_block(std::move(block))
+    {
+        accept();
+    }
+
+    std::uint64_t requestCount() const { return m_requestCount; }
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code& error, Socket accepted) {
+            if (error)
+                return;
+            auto socket = std::make_shared<Socket>(std::move(accepted));
+            auto request = std::make_shared<std::string>(4096, '\0');
+            socket->async_read_some(boost::asio::buffer(*request), [this, socket, request](const boost::system::error_code& failed, std::size_t) {
+                if (failed)
+                    return;
+                ++m_requestCount;
+                send(socket, m_start);
+            });
+            accept();
+        });
+    }
+
+    void send(const std::shared_ptr<Socket>& socket, const std::string& bytes)
+    {
+        boost::asio::async_write(*socket, boost::asio::buffer(bytes), [this, socket](const boost::system::error_code& failed, std::size_t) {
+            if (!failed && !m_block.empty())
+                send(socket, m_block);
+        });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::string m_start;
+    std::string m_block;
+    std::uint64_t m_requestCount = 0;
+};
+
+std::string replyHead(const std::string& headers)
+{
+    return "HTTP/1.1 200 OK\r\n" + platform::headerNames().signature + ": s\r\n" + headers;
+}
+
+/// An edge process whose service "sound" has a target without faults and whose service "faulty" has a flooding one.
+class EdgeBesideFlood {
+public:
+    EdgeBesideFlood(const std::string& start, const std::string& block)
+        : m_flood(m_context, m_floodEndpoint, start, block)
+    {
+        addTarget("sound", m_soundEndpoint);
+        addTarget("faulty", m_floodEndpoint);
+        nlohmann::json configuration { { "version", 1 }, { "services", { service("sound"), service("faulty") } }, { "routes", { route("sound"), route("faulty") } },
+            { "limits", { { "header_bytes", 16384 }, { "body_bytes", 65536 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } };
+        m_store.put("op/config", configuration.dump());
+    }
+
+    /// Runs until \a condition holds or \a timeout has passed; \returns whether it holds
+    bool until(const std::function<bool()>& condition, std::chrono::milliseconds timeout = std::chrono::seconds(20))
+    {
+        auto end = std::chrono::steady_clock::now() + timeout;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            m_store.tick();
+            m_context.run_for(std::chrono::milliseconds(2));
+        }
+        return condition();
+    }
+
+    /// Sends requests to \a service one after the other over one connection from now on; counts the statuses of their answers.
+    void startCaller(const std::string& service)
+    {
+        m_callers.push_back(std::make_shared<HttpReader>(m_context, m_callerEndpoint));
+        sendNext(service, m_callers.back());
+    }
+
+    /// \returns the number of answers with \a status to requests to \a service; status 0 counts requests that ended without an answer
+    std::uint64_t answers(const std::string& service, unsigned status) const
+    {
+        auto found = m_answers.find({ service, status });
+        return found == m_answers.end() ? 0 : found->second;
+    }
+
+    std::uint64_t floodedRequests() const { return m_flood.requestCount(); }
+    std::optional<int> exitCode() { return m_edge.exitCode(); }
+    double peakMegabytes() const { return m_edge.peakMegabytes(); }
+
+private:
+    static nlohmann::json route(const std::string& service)
+    {
+        return { { "name", service }, { "host", "h.example" }, { "prefix", "/" + service + "/" }, { "kind", "idempotent" }, { "timeout_ms", 5000 }, { "goal_ms", 800 }, { "service", service }, { "max_attempts", 1 } };
+    }
+
+    static nlohmann::json service(const std::string& name) { return { { "name", name }, { "max_connections", 1000 } }; }
+
+    static StandinService::Behaviour answerSoundly(const CallerRequest&)
+    {
+        StandinService::Behaviour behaviour;
+        behaviour.body = "records";
+        behaviour.serviceTime = std::chrono::milliseconds(20);
+        return behaviour;
+    }
+
+    void addTarget(const std::string& service, const Endpoint& endpoint)
+    {
+        nlohmann::json entry { { "service", service }, { "address", endpoint.text() }, { "zone", "a" }, { "version", "v1" }, { "slots", 500 }, { "state", "ready" }, { "warmup_left_ms", 0 }, { "sequence", 1 } };
+        m_store.put("servers/" + service, entry.dump());
+    }
+
+    void sendNext(const std::string& service, const std::shared_ptr<HttpReader>& caller)
+    {
+        caller->setHeaders(platform::headerNames().requestId + ": id" + std::to_string(++m_requests) + "\r\n" + platform::headerNames().deadline + ": 5000\r\n", "h.example");
+        caller->get("/" + service + "/q", std::chrono::seconds(6), [this, service, caller](const HttpReader::Result& result) {
+            ++m_answers[{ service, result.status }];
+            // Posted, since the reader must not start a request within its callback.
+            boost::asio::post(m_context, [this, service, caller] { sendNext(service, caller); });
+        });
+    }
+
+    std::string settings() const
+    {
+        return "name: edge-1\ndataCentre: a\nlisten:\n  callers: " + m_callerEndpoint.text() + "\n  readiness: " + test::freeEndpoint().text() + "\n  members: " + test::freeEndpoint().text()
+            + "\nmembers: []\nplatform: " + m_storeEndpoint.text() + "\n";
+    }
+
+    boost::asio::io_context m_context { 1 };
+    BootClock m_clock;
+    Endpoint m_storeEndpoint = test::freeEndpoint();
+    Endpoint m_soundEndpoint = test::freeEndpoint();
+    Endpoint m_floodEndpoint = test::freeEndpoint();
+    Endpoint m_callerEndpoint = test::freeEndpoint();
+    StandinStore m_store { m_context, m_clock, m_storeEndpoint };
+    StandinService m_sound { m_context, m_clock, platform::headerNames(), m_soundEndpoint, "sound", answerSoundly };
+    FloodingTarget m_flood;
+    ChildProcess m_edge { "pimentopoint-edge", settings() };
+    std::vector<std::shared_ptr<HttpReader>> m_callers;
+    std::map<std::pair<std::string, unsigned>, std::uint64_t> m_answers;
+    std::uint64_t m_requests = 0;
+};
+
+/// Memory that an edge process uses at most if its settings don't state any.
+constexpr double defaultMemoryMegabytes = 128;
+constexpr std::chrono::milliseconds floodTime(1500);
+
+/// Plays a flooding target beside a sound one and checks that only the callers of the flooding one notice.
+void checkFlood(const std::string& start, const std::string& block, std::size_t faultyCallers)
+{
+    EdgeBesideFlood edge(start, block);
+    for (int i = 0; i < 4; ++i)
+        edge.startCaller("sound");
+    REQUIRE(edge.until([&] { return edge.answers("sound", 200) >= 4; }));
+    std::uint64_t lostBefore = edge.answers("sound", 0);
+    for (std::size_t i = 0; i < faultyCallers; ++i)
+        edge.startCaller("faulty");
+    REQUIRE(edge.until([&] { return edge.floodedRequests() > 0; }));
+    std::uint64_t servedBefore = edge.answers("sound", 200);
+    std::optional<int> exitCode;
+    edge.until(
+        [&] {
+            exitCode = edge.exitCode();
+            return exitCode.has_value();
+        },
+        floodTime);
+    CHECK_FALSE(exitCode);
+    CHECK(edge.answers("sound", 0) == lostBefore);
+    CHECK(edge.answers("sound", 200) > servedBefore);
+    CHECK(edge.peakMegabytes() < defaultMemoryMegabytes);
+}
+
+constexpr std::size_t blockBytes = std::size_t(64) * 1024;
+
+} // namespace
+
+// Guards against: one reply with a stated length that can't be allocated ends the process with all requests in progress.
+TEST_CASE("A reply that states a length above the limit is lost alone, and its process goes on")
+{
+    for (const char* length : { "4999999999999999999", "18446744073709551615", "4000000000", "9000000" }) {
+        INFO("Content-Length: " << length);
+        // The first bytes of the body arrive with the head.
+        checkFlood(replyHead("Content-Length: " + std::string(length) + "\r\n\r\nhello"), std::string(blockBytes, 'x'), 4);
+    }
+}
