Limit the header of a chunk and the trailer in a target's reply

Cause: Boost.Beast parses the header of a chunk and the trailer only as a whole, and neither of its limits (head, body) covers them. Bytes that are not parsed stay in the connection's buffer, which had no limit: it grew at the rate of the link for as long as the attempt lasted. Confirmed by table: of ten kinds of replies without end only those in which a chunk header or a trailer goes on exceed the memory, also after an interim reply; heads and bodies without a length don't.

Change: ReplyParser rejects a reply as soon as more than a head's worth of bytes can't be parsed.

--- a/Pimentopoint/src/Net/ReplyParser.cpp
+++ b/Pimentopoint/src/Net/ReplyParser.cpp
@@ -14,6 +14,7 @@
 void ReplyParser::beginReply()
 {
     m_parser.emplace();
+    m_headBytes = 0;
     // Eager parsing would go on after the stated length was found to exceed the body limit (Boost 1.74).
     m_parser->eager(false);
     m_parser->header_limit(m_limits.headBytes);
@@ -30,16 +31,20 @@
     std::size_t parsed = 0;
     while (parsed < m_input.size() && !m_parser->is_done()) {
         boost::system::error_code error;
+        bool inHead = !m_parser->is_header_done();
         std::size_t consumed = m_parser->put(boost::asio::buffer(m_input) + parsed, error);
         parsed += consumed;
+        if (inHead)
+            m_headBytes += consumed;
         if (error && error != http::error::need_more)
             return Progress::Invalid;
         if (error || !consumed)
             break;
     }
     m_input.erase(0, parsed);
+    // The library's limits don't cover the header of a chunk and a trailer, which it parses only as a whole.
     if (!m_parser->is_done())
-        return Progress::Incomplete;
+        return m_input.size() > m_limits.headBytes ? Progress::Invalid : Progress::Incomplete;
     return m_parser->get().result_int() < firstFinalStatus ? Progress::Interim : Progress::Complete;
 }
 
--- a/Pimentopoint/src/Net/ReplyParser.h
+++ b/Pimentopoint/src/Net/ReplyParser.h
@@ -16,7 +16,7 @@
 class ReplyParser {
 public:
     struct Limits {
-        std::uint32_t headBytes; ///< Most bytes of a head.
+        std::uint32_t headBytes; ///< Most bytes of a head, of the header of a chunk with its extensions, and of a trailer.
         std::uint64_t bodyBytes; ///< Most bytes of the body, without the framing of chunks.
     };
     enum class Progress : std::uint8_t {
@@ -37,6 +37,8 @@
     /// \returns the final reply; complete after Progress::Complete
     const boost::beast::http::response<ReplyBody>& reply() const { return m_parser->get(); }
     std::string takeBody() { return std::move(m_parser->get().body()); }
+    /// \returns the memory that the bytes of the reply use
+    std::size_t heldBytes() const { return m_input.capacity() + m_headBytes + m_parser->get().body().capacity(); }
     /// \returns whether the connection can carry another request after the complete reply
     bool reusable() const { return m_input.empty() && m_parser->keep_alive() && !m_parser->need_eof(); }
 
@@ -48,6 +50,7 @@
     Limits m_limits;
     bool m_hasBody;
     std::string m_input; ///< Bytes that are not parsed yet.
+    std::size_t m_headBytes = 0; ///< Bytes of the head that are parsed.
     std::optional<Parser> m_parser;
 };
 
--- a/test/EndlessReplyTest.cpp
+++ b/test/EndlessReplyTest.cpp
@@ -64,6 +64,14 @@
     return "HTTP/1.1 200 OK\r\n" + platform::headerNames().signature + ": s\r\n" + headers;
 }
 
+std::string repeated(const std::string& text, std::size_t bytes)
+{
+    std::string result;
+    while (result.size() < bytes)
+        result += text;
+    return result;
+}
+
 /// An edge process whose service "sound" has a target without faults and whose service "faulty" has a flooding one.
 class EdgeBesideFlood {
 public:
@@ -201,3 +209,31 @@
         checkFlood(replyHead("Content-Length: " + std::string(length) + "\r\n\r\nhello"), std::string(blockBytes, 'x'), 4);
     }
 }
+
+// Guards against: bytes that no limit counts fill the memory of the process until it is killed.
+TEST_CASE("A reply that never ends is lost alone, whichever part of it goes on")
+{
+    struct Case {
+        const char* name;
+        std::string start;
+        std::string block;
+    };
+    const std::string chunked = replyHead("Transfer-Encoding: chunked\r\n\r\n");
+    const std::string filler(blockBytes, 'x');
+    const Case cases[] = {
+        { "a chunk header", chunked + "5;", filler },
+        { "a trailer", chunked + "5\r\nhello\r\n0\r\nX-Checksum: ", filler },
+        { "many trailers", chunked + "5\r\nhello\r\n0\r\n", repeated("X-Checksum: 1\r\n", blockBytes) },
+        { "chunks of one byte with long headers", chunked, repeated("1;" + std::string(1000, 'x') + "\r\na\r\n", blockBytes) },
+        { "a header field", replyHead("X-Field: "), filler },
+        { "many header fields", replyHead(""), repeated("X-Field: 1\r\n", blockBytes) },
+        { "a body without a length", replyHead("\r\n"), filler },
+        { "interim replies", "", repeated("HTTP/1.1 103 Early Hints\r\nX-Field: 1\r\n\r\n", blockBytes) },
+        { "a chunk header after an interim reply", "HTTP/1.1 103 Early Hints\r\n\r\n" + chunked + "5;", filler },
+        { "a header field after an interim reply", "HTTP/1.1 103 Early Hints\r\n\r\n" + replyHead("X-Field: "), filler },
+    };
+    for (const Case& each : cases) {
+        INFO(each.name);
+        checkFlood(each.start, each.block, 4);
+    }
+}
