Limit interim replies and the framing of chunks in a target's reply as a whole

Callers saw nothing but a slower host: a target that sends interim replies, or tiny chunks with long headers, without end is read until the attempt's deadline, at the full rate of the link.

Cause: each interim reply got a parser with fresh limits, and the headers of chunks count towards no limit, as long as each of them is short.

Change: the heads of all interim replies and of the final one share the limit of a head; the framing of chunks may take as many bytes as the body.

--- a/Pimentopoint/src/Net/ReplyParser.cpp
+++ b/Pimentopoint/src/Net/ReplyParser.cpp
@@ -14,7 +14,6 @@
 void ReplyParser::beginReply()
 {
     m_parser.emplace();
-    m_headBytes = 0;
     // Eager parsing would go on after the stated length was found to exceed the body limit (Boost 1.74).
     m_parser->eager(false);
     m_parser->header_limit(m_limits.headBytes);
@@ -32,11 +31,13 @@
     while (parsed < m_input.size() && !m_parser->is_done()) {
         boost::system::error_code error;
         bool inHead = !m_parser->is_header_done();
+        std::size_t bodyBytes = m_parser->get().body().size();
         std::size_t consumed = m_parser->put(boost::asio::buffer(m_input) + parsed, error);
+        std::size_t overhead = consumed - (m_parser->get().body().size() - bodyBytes);
         parsed += consumed;
-        if (inHead)
-            m_headBytes += consumed;
-        if (error && error != http::error::need_more)
+        (inHead ? m_headBytes : m_framingBytes) += overhead;
+        bool withinLimits = m_headBytes <= m_limits.headBytes && overhead <= m_limits.headBytes && m_framingBytes <= m_limits.bodyBytes;
+        if (!withinLimits || (error && error != http::error::need_more))
             return Progress::Invalid;
         if (error || !consumed)
             break;
--- a/Pimentopoint/src/Net/ReplyParser.h
+++ b/Pimentopoint/src/Net/ReplyParser.h
@@ -16,8 +16,8 @@
 class ReplyParser {
 public:
     struct Limits {
-        std::uint32_t headBytes; ///< Most bytes of a head, of the header of a chunk with its extensions, and of a trailer.
-        std::uint64_t bodyBytes; ///< Most bytes of the body, without the framing of chunks.
+        std::uint32_t headBytes; ///< Most bytes of all heads, of the header of a chunk with its extensions, and of a trailer.
+        std::uint64_t bodyBytes; ///< Most bytes of the body, and of the framing of its chunks.
     };
     enum class Progress : std::uint8_t {
         Incomplete, ///< More bytes are needed.
@@ -50,7 +50,8 @@
     Limits m_limits;
     bool m_hasBody;
     std::string m_input; ///< Bytes that are not parsed yet.
-    std::size_t m_headBytes = 0; ///< Bytes of the head that are parsed.
+    std::size_t m_headBytes = 0; ///< Bytes of heads that are parsed, those of interim replies included.
+    std::size_t m_framingBytes = 0; ///< Bytes of chunk headers and trailers that are parsed.
     std::optional<Parser> m_parser;
 };
 
--- a/test/ReplyParserTest.cpp
+++ b/test/ReplyParserTest.cpp
@@ -118,8 +118,11 @@
         { "a header field", head + "X-Field: " + filler, headLimit + 100 },
         { "many header fields", head + repeat("X: 1\r\n", 2000), headLimit + 100 },
         { "a chunk header", chunked + "5;" + filler, headLimit + 100 },
+        { "a chunk header, complete", chunked + "5;" + std::string(600, 'x') + "\r\nhello\r\n0\r\n\r\n", headLimit + 100 },
+        { "chunk headers together", chunked + repeat("1;" + std::string(400, 'x') + "\r\na\r\n", 100), bodyLimit + headLimit + 100 },
         { "a trailer field", chunked + chunk(5) + "0\r\nX-Field: " + filler, headLimit + 100 },
         { "many trailer fields", chunked + chunk(5) + "0\r\n" + repeat("X: 1\r\n", 2000), headLimit + 100 },
+        { "interim replies", repeat("HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n", 500), headLimit + 100 },
         { "a header field after an interim reply", "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "X-Field: " + filler, headLimit + 100 },
         { "a chunk header after an interim reply", "HTTP/1.1 103 Early Hints\r\n\r\n" + chunked + "5;" + filler, headLimit + 100 },
     };
