Keep replies of the store and of other hosts within limits

Cause, the same as for replies of targets: HttpReader used the eager parser with a body limit, so that a stated length above it was reserved or read, and kept bytes that could not be parsed without a limit until the read's timeout.

Change: HttpReader uses ReplyParser; the limit of the body stays at 16 MB, far above a page of the store, that of heads is 32 KB. An interim reply is no longer taken for the final one.

Not seen with real stores or hosts; no page says that these misbehave.

--- a/Pimentopoint/src/Net/HttpReader.cpp
+++ b/Pimentopoint/src/Net/HttpReader.cpp
@@ -7,14 +7,13 @@
 namespace pimentopoint {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
-
 namespace {
 
     /// A connection is closed if sent bytes stay unacknowledged for this long.
     constexpr Duration acknowledgementTimeout = std::chrono::seconds(2);
     /// Far above the size of a page of the store: about one megabyte, plus half of that for base64 and JSON.
     constexpr std::uint64_t maxBodyBytes = std::uint64_t(16) * 1024 * 1024;
+    constexpr std::uint32_t maxHeaderBytes = std::uint32_t(32) * 1024;
     constexpr std::size_t readBytes = std::size_t(16) * 1024;
 
 } // namespace
@@ -37,10 +36,7 @@
     ++m_generation;
     m_callback = std::move(callback);
     m_request = "GET " + target + " HTTP/1.1\r\nHost: " + (m_host.empty() ? m_server.text() : m_host) + "\r\n" + m_headers + "\r\n";
-    m_input.clear();
-    m_parser.emplace();
-    m_parser->eager(true);
-    m_parser->body_limit(maxBodyBytes);
+    m_parser.emplace(ReplyParser::Limits { maxHeaderBytes, maxBodyBytes }, true);
     m_timer.expires_after(timeout);
     m_timer.async_wait([self = shared_from_this(), generation = m_generation](const boost::system::error_code& cancelled) {
         if (!cancelled && generation == self->m_generation)
@@ -93,31 +89,26 @@
 
 void HttpReader::handleRead(const boost::system::error_code& failed, std::size_t size)
 {
-    boost::system::error_code error;
     if (failed) {
         fail(failed.message());
         return;
     }
-    m_input.append(m_chunk.data(), size);
-    while (!m_input.empty() && !m_parser->is_done()) {
-        std::size_t consumed = m_parser->put(asio::buffer(m_input), error);
-        m_input.erase(0, consumed);
-        if (error == http::error::need_more || (!error && !consumed))
-            break;
-        if (error) {
-            fail(error.message());
-            return;
-        }
-    }
-    if (!m_parser->is_done()) {
+    ReplyParser::Progress progress = m_parser->put({ m_chunk.data(), size });
+    while (progress == ReplyParser::Progress::Interim)
+        progress = m_parser->put({});
+    if (progress == ReplyParser::Progress::Incomplete) {
         read();
         return;
     }
+    if (progress == ReplyParser::Progress::Invalid) {
+        fail("the reply must be valid HTTP within the size limits");
+        return;
+    }
     Result result;
-    result.status = m_parser->get().result_int();
-    result.body = std::move(m_parser->get().body());
-    bool reusable = m_input.empty() && m_parser->keep_alive();
-    result.headers = std::move(m_parser->get().base());
+    result.status = m_parser->reply().result_int();
+    result.headers = m_parser->reply().base();
+    result.body = m_parser->takeBody();
+    bool reusable = m_parser->reusable();
     finish(std::move(result), reusable);
 }
 
@@ -127,7 +118,6 @@
     m_timer.cancel();
     m_parser.reset();
     m_chunk = {};
-    m_input = {};
     if (!reusable)
         m_socket.reset();
     Callback callback = std::move(m_callback);
--- a/Pimentopoint/src/Net/HttpReader.h
+++ b/Pimentopoint/src/Net/HttpReader.h
@@ -2,11 +2,10 @@
 
 #include "../Core/Clock.h"
 #include "../Core/Endpoint.h"
+#include "ReplyParser.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -37,8 +36,6 @@
     void close();
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
     void connect();
     void write();
     void read();
@@ -55,8 +52,7 @@
     std::string m_host;
     std::string m_request;
     std::string m_chunk;
-    std::string m_input;
-    std::optional<Parser> m_parser;
+    std::optional<ReplyParser> m_parser;
     Callback m_callback;
 };
 
