Confine an exception to the connection or event whose handler it leaves

Cause: handlers of Asio's event loop ran without a guard, so that an exception of any of them left EdgeHost::run and ended the process.

Change: an exception in a handler of a target's, a caller's or a reader's connection is logged ("handler-failed") and closes that connection: the attempt ends as lost, the caller's request as disconnected, the read without a reply. The acceptor and the member socket go on. Ticks, timers and signals of EdgeHost are rearmed, an item of the store that fails in an unforeseen way is refused alone, settings that can't be read for any reason are refused, and the event loop itself is the last guard.

EdgeHost's own guards have no test of their own.

--- a/Pimentopoint/src/Net/CallerConnection.cpp
+++ b/Pimentopoint/src/Net/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include "CallerConnection.h"
 
+#include "HandlerGuard.h"
 #include "HostHeaders.h"
 #include "HttpText.h"
 #include "ReadAvailable.h"
@@ -75,7 +76,7 @@
     m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code& error) {
         self->m_reading = false;
         if (!self->m_closed)
-            self->handleReadable(error);
+            self->guard([&] { self->handleReadable(error); });
     });
 }
 
@@ -257,10 +258,10 @@
     if (error == asio::error::would_block)
         error = {};
     if (error || size == m_output.size()) {
-        asio::post(m_socket.get_executor(), [self = shared_from_this(), error] { self->handleWritten(error); });
+        asio::post(m_socket.get_executor(), [self = shared_from_this(), error] { self->guard([&] { self->handleWritten(error); }); });
         return;
     }
-    asio::async_write(m_socket, asio::buffer(m_output) + size, [self = shared_from_this()](const boost::system::error_code& failed, std::size_t) { self->handleWritten(failed); });
+    asio::async_write(m_socket, asio::buffer(m_output) + size, [self = shared_from_this()](const boost::system::error_code& failed, std::size_t) { self->guard([&] { self->handleWritten(failed); }); });
 }
 
 void CallerConnection::handleWritten(const boost::system::error_code& error)
@@ -310,6 +311,18 @@
     }
 }
 
+void CallerConnection::guard(const std::function<void()>& handler)
+{
+    runGuarded(handler, [this](const std::exception& error) {
+        logHandlerException("caller connection", "", error);
+        auto self = shared_from_this();
+        std::optional<CallId> call = std::exchange(m_call, std::nullopt);
+        close();
+        if (call)
+            m_hooks.disconnected(*call);
+    });
+}
+
 bool CallerConnection::closeIfIdle()
 {
     if (m_closed || m_call || m_writing || m_lingering || m_parser || !m_input.empty())
--- a/Pimentopoint/src/Net/CallerConnection.h
+++ b/Pimentopoint/src/Net/CallerConnection.h
@@ -59,6 +59,8 @@
     void write();
     void handleWritten(const boost::system::error_code& error);
     void beginLinger();
+    /// Runs \a handler; an exception that leaves it ends this connection only.
+    void guard(const std::function<void()>& handler);
 
     boost::asio::ip::tcp::socket m_socket;
     const Clock& m_clock;
--- a/Pimentopoint/src/Net/CallerServer.cpp
+++ b/Pimentopoint/src/Net/CallerServer.cpp
@@ -1,5 +1,6 @@
 #include "CallerServer.h"
 
+#include "HandlerGuard.h"
 #include "Listen.h"
 
 #include <algorithm>
@@ -24,25 +25,29 @@
     m_acceptor.async_accept([this](const boost::system::error_code& error, asio::ip::tcp::socket socket) {
         if (!m_acceptor.is_open())
             return;
-        if (!error && m_connections.size() < m_maxConnections) {
-            CallerConnection::Hooks hooks;
-            hooks.request = [this](const std::shared_ptr<CallerConnection>& connection, std::shared_ptr<const CallerRequest> request) { return beginCall(connection, std::move(request)); };
-            hooks.disconnected = [this](CallId call) {
-                m_calls.erase(call);
-                m_hooks.disconnected(call);
-            };
-            hooks.closed = [this](const std::shared_ptr<CallerConnection>& connection) { m_connections.erase(connection); };
-            hooks.limits = m_hooks.limits;
-            hooks.acceptsDelegations = m_hooks.acceptsDelegations;
-            hooks.draining = [this] { return m_draining; };
-            auto connection = std::make_shared<CallerConnection>(std::move(socket), m_clock, m_headerNames, std::move(hooks));
-            m_connections.insert(connection);
-            connection->start();
-        }
+        if (!error && m_connections.size() < m_maxConnections)
+            runGuarded([&] { addConnection(std::move(socket)); }, [](const std::exception& failure) { logHandlerException("acceptor of callers", "", failure); });
         accept();
     });
 }
 
+void CallerServer::addConnection(asio::ip::tcp::socket socket)
+{
+    CallerConnection::Hooks hooks;
+    hooks.request = [this](const std::shared_ptr<CallerConnection>& connection, std::shared_ptr<const CallerRequest> request) { return beginCall(connection, std::move(request)); };
+    hooks.disconnected = [this](CallId call) {
+        m_calls.erase(call);
+        m_hooks.disconnected(call);
+    };
+    hooks.closed = [this](const std::shared_ptr<CallerConnection>& connection) { m_connections.erase(connection); };
+    hooks.limits = m_hooks.limits;
+    hooks.acceptsDelegations = m_hooks.acceptsDelegations;
+    hooks.draining = [this] { return m_draining; };
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_clock, m_headerNames, std::move(hooks));
+    m_connections.insert(connection);
+    connection->start();
+}
+
 CallId CallerServer::beginCall(const std::shared_ptr<CallerConnection>& connection, std::shared_ptr<const CallerRequest> request)
 {
     CallId call = m_hooks.nextCallId ? m_hooks.nextCallId() : CallId(++m_lastCallId);
--- a/Pimentopoint/src/Net/CallerServer.h
+++ b/Pimentopoint/src/Net/CallerServer.h
@@ -40,6 +40,7 @@
 
 private:
     void accept();
+    void addConnection(boost::asio::ip::tcp::socket socket);
     CallId beginCall(const std::shared_ptr<CallerConnection>& connection, std::shared_ptr<const CallerRequest> request);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/Pimentopoint/src/Net/HttpReader.cpp
+++ b/Pimentopoint/src/Net/HttpReader.cpp
@@ -1,5 +1,6 @@
 #include "HttpReader.h"
 
+#include "HandlerGuard.h"
 #include "SocketOptions.h"
 
 #include <boost/asio/write.hpp>
@@ -40,7 +41,7 @@
     m_timer.expires_after(timeout);
     m_timer.async_wait([self = shared_from_this(), generation = m_generation](const boost::system::error_code& cancelled) {
         if (!cancelled && generation == self->m_generation)
-            self->fail("no reply within the timeout");
+            self->guard([&self] { self->fail("no reply within the timeout"); });
     });
     if (m_socket)
         write();
@@ -59,10 +60,7 @@
     m_socket->async_connect(endpoint, [self = shared_from_this(), generation = m_generation](const boost::system::error_code& failed) {
         if (generation != self->m_generation || !self->m_callback)
             return;
-        if (failed)
-            self->fail(failed.message());
-        else
-            self->write();
+        self->guard([&] { failed ? self->fail(failed.message()) : self->write(); });
     });
 }
 
@@ -71,10 +69,7 @@
     asio::async_write(*m_socket, asio::buffer(m_request), [self = shared_from_this(), generation = m_generation](const boost::system::error_code& failed, std::size_t) {
         if (generation != self->m_generation || !self->m_callback)
             return;
-        if (failed)
-            self->fail(failed.message());
-        else
-            self->read();
+        self->guard([&] { failed ? self->fail(failed.message()) : self->read(); });
     });
 }
 
@@ -83,7 +78,7 @@
     m_chunk.resize(readBytes);
     m_socket->async_read_some(asio::buffer(m_chunk), [self = shared_from_this(), generation = m_generation](const boost::system::error_code& failed, std::size_t size) {
         if (generation == self->m_generation && self->m_callback)
-            self->handleRead(failed, size);
+            self->guard([&] { self->handleRead(failed, size); });
     });
 }
 
@@ -132,6 +127,18 @@
     finish(std::move(result), false);
 }
 
+void HttpReader::guard(const std::function<void()>& handler)
+{
+    runGuarded(handler, [this](const std::exception& error) {
+        logHandlerException("reader", m_server.text(), error);
+        // The callback has been called already, unless the exception came before the reply was complete.
+        if (m_callback)
+            fail(error.what());
+        else
+            close();
+    });
+}
+
 void HttpReader::close()
 {
     ++m_generation;
--- a/Pimentopoint/src/Net/HttpReader.h
+++ b/Pimentopoint/src/Net/HttpReader.h
@@ -42,6 +42,8 @@
     void handleRead(const boost::system::error_code& error, std::size_t size);
     void finish(Result result, bool reusable);
     void fail(std::string cause);
+    /// Runs \a handler; an exception that leaves it, for example from the callback, ends the connection only.
+    void guard(const std::function<void()>& handler);
 
     boost::asio::io_context& m_context;
     Endpoint m_server;
--- a/Pimentopoint/src/Net/MemberSocket.cpp
+++ b/Pimentopoint/src/Net/MemberSocket.cpp
@@ -2,6 +2,7 @@
 
 #include "../Core/Log.h"
 #include "../Peer/MalformedMessage.h"
+#include "HandlerGuard.h"
 #include "Listen.h"
 
 namespace pimentopoint {
@@ -40,18 +41,22 @@
     m_socket.async_receive_from(asio::buffer(m_datagram), m_sender, [this](const boost::system::error_code& error, std::size_t size) {
         if (!m_socket.is_open())
             return;
-        if (!error) {
-            try {
-                Endpoint from(m_sender.address().to_string(), m_sender.port());
-                perform(m_membership.handleDatagram(std::string(m_datagram.data(), size), from, m_clock.now()));
-            } catch (const MalformedMessage& malformed) {
-                Log::event(Severity::Warning, "malformed-datagram", { { "from", m_sender.address().to_string() }, { "cause", malformed.what() } });
-            }
-        }
+        if (!error)
+            runGuarded([&] { handleDatagram(std::string(m_datagram.data(), size)); }, [this](const std::exception& failure) { logHandlerException("member socket", m_sender.address().to_string(), failure); });
         receive();
     });
 }
 
+void MemberSocket::handleDatagram(const std::string& datagram)
+{
+    try {
+        Endpoint from(m_sender.address().to_string(), m_sender.port());
+        perform(m_membership.handleDatagram(datagram, from, m_clock.now()));
+    } catch (const MalformedMessage& malformed) {
+        Log::event(Severity::Warning, "malformed-datagram", { { "from", m_sender.address().to_string() }, { "cause", malformed.what() } });
+    }
+}
+
 void MemberSocket::perform(const MembershipActions& actions)
 {
     for (const auto& datagram : actions.datagrams) {
--- a/Pimentopoint/src/Net/MemberSocket.h
+++ b/Pimentopoint/src/Net/MemberSocket.h
@@ -30,6 +30,7 @@
 
 private:
     void receive();
+    void handleDatagram(const std::string& datagram);
     void perform(const MembershipActions& actions);
 
     boost::asio::ip::udp::socket m_socket;
--- a/Pimentopoint/src/Net/TargetConnection.cpp
+++ b/Pimentopoint/src/Net/TargetConnection.cpp
@@ -1,5 +1,6 @@
 #include "TargetConnection.h"
 
+#include "HandlerGuard.h"
 #include "HostHeaders.h"
 #include "HttpText.h"
 #include "ReadAvailable.h"
@@ -73,36 +74,40 @@
     m_socket.open(endpoint.protocol(), error);
     if (error) {
         // No file descriptor is available. The failure is posted, so that start() never calls a hook.
-        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->failConnect("opening a socket failed"); });
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->guard([&self] { self->failConnect("opening a socket failed"); }); });
         return;
     }
     setUpSocket(m_socket, acknowledgementTimeout, false);
     m_timer.expires_after(connectTimeout);
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& cancelled) {
         if (!cancelled && !self->m_connected)
-            self->failConnect("the connection was not accepted within the connect timeout");
+            self->guard([&self] { self->failConnect("the connection was not accepted within the connect timeout"); });
     });
     m_socket.async_connect(endpoint, [self = shared_from_this()](const boost::system::error_code& failed) {
         self->m_timer.cancel();
-        if (self->m_closed)
-            return;
-        if (failed) {
-            self->failConnect("connecting to the target failed");
-            return;
-        }
-        self->m_connected = true;
-        boost::system::error_code ignored;
-        self->m_socket.non_blocking(true, ignored);
-        self->read();
-        if (self->m_attempt) {
-            self->write();
-            return;
-        }
-        self->m_reusableUntil = self->m_clock.now() + defaultKeepAlive;
-        self->m_hooks.idle(self);
+        if (!self->m_closed)
+            self->guard([&] { self->handleConnected(failed); });
     });
 }
 
+void TargetConnection::handleConnected(const boost::system::error_code& error)
+{
+    if (error) {
+        failConnect("connecting to the target failed");
+        return;
+    }
+    m_connected = true;
+    boost::system::error_code ignored;
+    m_socket.non_blocking(true, ignored);
+    read();
+    if (m_attempt) {
+        write();
+        return;
+    }
+    m_reusableUntil = m_clock.now() + defaultKeepAlive;
+    m_hooks.idle(shared_from_this());
+}
+
 void TargetConnection::failConnect(const char* cause)
 {
     if (m_attempt)
@@ -116,7 +121,9 @@
     const CallerRequest& request = *m_attempt->request;
     Duration remaining = m_attempt->deadline - m_clock.now();
     if (remaining <= Duration(1000)) {
-        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(TargetReply::ReplyOutcome::NotSent, "at most 1 ms was left to the deadline when the connection was ready"); });
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+            self->guard([&self] { self->fail(TargetReply::ReplyOutcome::NotSent, "at most 1 ms was left to the deadline when the connection was ready"); });
+        });
         return;
     }
     m_output.clear();
@@ -139,7 +146,7 @@
     std::size_t size = m_socket.write_some(asio::buffer(m_output), error);
     m_anyBytesSent = size > 0;
     if (error && error != asio::error::would_block) {
-        asio::post(m_socket.get_executor(), [self = shared_from_this(), id = m_attempt->id] { self->handleWritten(id, true); });
+        asio::post(m_socket.get_executor(), [self = shared_from_this(), id = m_attempt->id] { self->guard([&] { self->handleWritten(id, true); }); });
         return;
     }
     m_requestWritten = size == m_output.size();
@@ -147,7 +154,7 @@
         return;
     m_anyBytesSent = true;
     asio::async_write(m_socket, asio::buffer(m_output) + size,
-        [self = shared_from_this(), id = m_attempt->id](const boost::system::error_code& failed, std::size_t) { self->handleWritten(id, bool(failed)); });
+        [self = shared_from_this(), id = m_attempt->id](const boost::system::error_code& failed, std::size_t) { self->guard([&] { self->handleWritten(id, bool(failed)); }); });
 }
 
 void TargetConnection::handleWritten(AttemptNumber id, bool failed)
@@ -164,7 +171,7 @@
 {
     m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code& error) {
         if (!self->m_closed)
-            self->handleReadable(error);
+            self->guard([&] { self->handleReadable(error); });
     });
 }
 
@@ -290,6 +297,16 @@
     finish(std::move(reply), false);
 }
 
+void TargetConnection::guard(const std::function<void()>& handler)
+{
+    runGuarded(handler, [this](const std::exception& error) {
+        logHandlerException("target connection", m_endpoint.text(), error);
+        auto self = shared_from_this();
+        close();
+        fail(TargetReply::ReplyOutcome::Lost, "an exception ended the connection");
+    });
+}
+
 void TargetConnection::finish(TargetReply reply, bool reusable)
 {
     AttemptNumber id = m_attempt->id;
--- a/Pimentopoint/src/Net/TargetConnection.h
+++ b/Pimentopoint/src/Net/TargetConnection.h
@@ -43,6 +43,7 @@
 
 private:
     void connect();
+    void handleConnected(const boost::system::error_code& error);
     void failConnect(const char* cause);
     void write();
     void handleWritten(AttemptNumber id, bool failed);
@@ -54,6 +55,8 @@
     /// Parses the headers that an aggregator adds to its reply; \returns whether the number of missing shards is among them
     bool parseAggregate(TargetReply& reply) const;
     void fail(TargetReply::ReplyOutcome outcome, const char* cause);
+    /// Runs \a handler; an exception that leaves it ends this connection only.
+    void guard(const std::function<void()>& handler);
     void finish(TargetReply reply, bool reusable);
     Instant keepAliveExpiry() const;
 
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -159,7 +159,8 @@
     reloadSettings("start");
     awaitSignals();
     tick();
-    m_context.run();
+    while (!m_context.stopped())
+        runGuarded([this] { m_context.run(); }, [](const std::exception& error) { logHandlerException("event loop", "", error); });
     m_readiness->stop();
     Log::event(Severity::Info, "stopped");
     Log::flush();
@@ -170,10 +171,7 @@
     m_signals.async_wait([this](const boost::system::error_code& error, int signal) {
         if (error)
             return;
-        if (signal == SIGHUP)
-            reloadSettings("SIGHUP");
-        else
-            beginStop();
+        runGuarded([&] { signal == SIGHUP ? reloadSettings("SIGHUP") : beginStop(); }, [](const std::exception& failure) { logHandlerException("signals", "", failure); });
         awaitSignals();
     });
 }
@@ -209,7 +207,7 @@
         if (m_stoppingSince)
             m_engine.beginStop(*m_stoppingSince + m_settings.stopTimeout - lastAnswerMargin);
         Log::event(Severity::Info, "settings-reloaded", { { "cause", cause }, { "effect", "the stop timeout; other changes apply at the next start" } });
-    } catch (const Failure& invalid) {
+    } catch (const std::exception& invalid) {
         Log::event(Severity::Warning, "settings-refused", { { "cause", invalid.what() } });
     }
 }
@@ -262,6 +260,21 @@
 }
 
 void EdgeHost::tick()
+{
+    bool mayExit = false;
+    runGuarded([&] { mayExit = performTick(); }, [](const std::exception& error) { logHandlerException("tick", "", error); });
+    if (mayExit) {
+        m_context.stop();
+        return;
+    }
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            tick();
+    });
+}
+
+bool EdgeHost::performTick()
 {
     Instant now = m_clock.now();
     m_updateFeed.tick();
@@ -277,15 +290,9 @@
     if (!m_stoppingSince) {
         for (const TargetPool::Choice& choice : m_targetPool.chooseUnconnected(advanceConnectionsPerTick, now))
             m_targetConnections.open(choice.name, choice.endpoint);
-    } else if (continueStop(now)) {
-        m_context.stop();
-        return;
+        return false;
     }
-    m_tickTimer.expires_after(tickInterval);
-    m_tickTimer.async_wait([this](const boost::system::error_code& error) {
-        if (!error)
-            tick();
-    });
+    return continueStop(now);
 }
 
 void EdgeHost::armCallTimer()
@@ -296,15 +303,19 @@
     m_nextCallWakeup = wakeup;
     m_callTimer.expires_after(std::max(Duration(0), *wakeup - m_clock.now()));
     m_callTimer.async_wait([this](const boost::system::error_code& error) {
-        if (error)
-            return;
-        m_nextCallWakeup.reset();
-        CallActions actions;
-        m_engine.tick(m_clock.now(), actions);
-        perform(actions);
+        if (!error)
+            runGuarded([this] { handleCallTimer(); }, [](const std::exception& failure) { logHandlerException("call timer", "", failure); });
     });
 }
 
+void EdgeHost::handleCallTimer()
+{
+    m_nextCallWakeup.reset();
+    CallActions actions;
+    m_engine.tick(m_clock.now(), actions);
+    perform(actions);
+}
+
 void EdgeHost::perform(CallActions& actions)
 {
     for (const auto& attempt : actions.attempts)
@@ -347,7 +358,7 @@
             m_targetPool.setExcludedDataCentres(m_evacuatedDataCentres);
             Log::event(Severity::Info, evacuation->active ? "evacuation-begins" : "evacuation-ends", { { "evacuated", evacuation->dataCentre }, { "revision", item.revision } });
         }
-    } catch (const platform::MalformedDocument& malformed) {
+    } catch (const std::exception& malformed) {
         Log::event(Severity::Warning, "entry-refused", { { "key", item.key }, { "cause", malformed.what() }, { "revision", item.revision } });
         if (auto name = platform::parseTargetKey(item.key))
             m_targetPool.remove(*name, m_clock.now());
--- a/daemons/EdgeHost.h
+++ b/daemons/EdgeHost.h
@@ -37,11 +37,14 @@
     void beginStop();
     void reloadSettings(const char* cause);
     void tick();
+    /// Does what is due in one tick; \returns whether the process may exit
+    bool performTick();
     void everySecond(Instant now);
     /// Performs the steps of a shutdown that are due; \returns whether the process may exit
     bool continueStop(Instant now);
     void setReady(bool ready);
     void armCallTimer();
+    void handleCallTimer();
     void perform(CallActions& actions);
     void applyUpdates(const std::vector<StoreItem>& items);
     void applyUpdate(const StoreItem& item);
