Limit the memory of all replies in progress together

Callers saw: the same as with replies without end (LOST), with replies that are each within their limit.

Cause: the limit of one reply does not bound the sum over all connections; neither does the number of connections, as 33 replies of 8 MB exceed 260 MB.

If the limit is exceeded, the largest reply in progress ends as lost; the target is treated as after a lost connection. Small replies, which are all that sound targets send on the known deployments, keep their memory as long as they are below an equal part of the limit.

Weighed: refusing a reply when the limit is reached (then 33 endless replies keep every sound one out), pausing the largest connections instead of ending them (endless replies hold the memory until their deadlines), a smaller limit per reply (8 MB over all connections would leave a few kilobytes for each).

--- a/Pimentopoint/src/Net/TargetConnection.cpp
+++ b/Pimentopoint/src/Net/TargetConnection.cpp
@@ -30,6 +30,7 @@
     /// Status with which a target refuses a request that is meant for another target.
     constexpr unsigned misdirected = 421;
     constexpr unsigned unavailable = 503;
+    constexpr const char* releasedCause = "the replies in progress need more memory than they may use, and this one needs the most";
 
     bool hasHeader(const http::fields& fields, const std::string& name)
     {
@@ -38,13 +39,14 @@
 
 } // namespace
 
-TargetConnection::TargetConnection(asio::io_context& context, const Clock& clock, const HeaderNames& headerNames, Endpoint endpoint, Hooks hooks)
+TargetConnection::TargetConnection(asio::io_context& context, const Clock& clock, const HeaderNames& headerNames, MemoryBudget& memory, Endpoint endpoint, Hooks hooks)
     : m_socket(context)
     , m_timer(context)
     , m_clock(clock)
     , m_headerNames(headerNames)
     , m_endpoint(std::move(endpoint))
     , m_hooks(std::move(hooks))
+    , m_charge(memory, [this] { releaseReply(); })
 {
 }
 
@@ -188,6 +190,10 @@
         close();
         return;
     }
+    if (!m_parser) {
+        // The reply was released; the end of the exchange has been posted.
+        return;
+    }
     if (error == asio::error::eof) {
         handleEnd();
         return;
@@ -212,6 +218,17 @@
         fail(TargetReply::ReplyOutcome::Lost, "the reply must be valid HTTP within the size limits");
     else if (progress == ReplyParser::Progress::Complete)
         handleReply(m_requestWritten && m_parser->reusable());
+    else if (!m_charge.set(m_parser->heldBytes()))
+        fail(TargetReply::ReplyOutcome::Lost, releasedCause);
+}
+
+void TargetConnection::releaseReply()
+{
+    m_parser.reset();
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (!self->m_parser)
+            self->guard([&self] { self->fail(TargetReply::ReplyOutcome::Lost, releasedCause); });
+    });
 }
 
 void TargetConnection::handleEnd()
@@ -312,6 +329,7 @@
     AttemptNumber id = m_attempt->id;
     m_attempt.reset();
     m_parser.reset();
+    m_charge.clear();
     auto self = shared_from_this();
     if (reusable)
         m_hooks.idle(self);
@@ -323,6 +341,8 @@
 void TargetConnection::abort()
 {
     m_attempt.reset();
+    m_parser.reset();
+    m_charge.clear();
     close();
 }
 
--- a/Pimentopoint/src/Net/TargetConnection.h
+++ b/Pimentopoint/src/Net/TargetConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../Core/MemoryCharge.h"
 #include "../Serve/CallEngine.h"
 #include "HeaderNames.h"
 #include "ReplyParser.h"
@@ -25,7 +26,8 @@
         std::function<void(const std::shared_ptr<TargetConnection>&)> closed; ///< Called once for each connection, whatever ended it.
     };
 
-    TargetConnection(boost::asio::io_context& context, const Clock& clock, const HeaderNames& headerNames, Endpoint endpoint, Hooks hooks);
+    /// \param memory limits the replies in progress of all connections together
+    TargetConnection(boost::asio::io_context& context, const Clock& clock, const HeaderNames& headerNames, MemoryBudget& memory, Endpoint endpoint, Hooks hooks);
 
     /// Connects to \a target before the first request.
     void open(const TargetName& target);
@@ -55,6 +57,8 @@
     /// Parses the headers that an aggregator adds to its reply; \returns whether the number of missing shards is among them
     bool parseAggregate(TargetReply& reply) const;
     void fail(TargetReply::ReplyOutcome outcome, const char* cause);
+    /// Discards the reply in progress and ends the exchange once the current handler has returned.
+    void releaseReply();
     /// Runs \a handler; an exception that leaves it ends this connection only.
     void guard(const std::function<void()>& handler);
     void finish(TargetReply reply, bool reusable);
@@ -73,7 +77,8 @@
     bool m_connected = false;
     bool m_closed = false;
     bool m_anyBytesSent = false;
-    std::optional<ReplyParser> m_parser;
+    std::optional<ReplyParser> m_parser; ///< Absent between exchanges and after releaseReply().
+    MemoryCharge m_charge; ///< Memory of the reply in progress.
     Instant m_reusableUntil {};
 };
 
--- a/Pimentopoint/src/Net/TargetConnectionPool.cpp
+++ b/Pimentopoint/src/Net/TargetConnectionPool.cpp
@@ -5,11 +5,12 @@
 
 namespace pimentopoint {
 
-TargetConnectionPool::TargetConnectionPool(boost::asio::io_context& context, const Clock& clock, const HeaderNames& headerNames, Metrics& metrics, CompletedHook onCompleted, OpenCountHook onOpenCountChanged)
+TargetConnectionPool::TargetConnectionPool(boost::asio::io_context& context, const Clock& clock, const HeaderNames& headerNames, Metrics& metrics, MemoryBudget& memory, CompletedHook onCompleted, OpenCountHook onOpenCountChanged)
     : m_context(context)
     , m_clock(clock)
     , m_headerNames(headerNames)
     , m_metrics(metrics)
+    , m_memory(memory)
     , m_onCompleted(std::move(onCompleted))
     , m_onOpenCountChanged(std::move(onOpenCountChanged))
 {
@@ -50,7 +51,7 @@
         m_onCompleted(id, std::move(reply));
     };
     setOpenCount(target, m_openCounts[target] + 1);
-    return std::make_shared<TargetConnection>(m_context, m_clock, m_headerNames, endpoint, std::move(hooks));
+    return std::make_shared<TargetConnection>(m_context, m_clock, m_headerNames, m_memory, endpoint, std::move(hooks));
 }
 
 void TargetConnectionPool::handleClosed(const ConnectionPointer& connection)
--- a/Pimentopoint/src/Net/TargetConnectionPool.h
+++ b/Pimentopoint/src/Net/TargetConnectionPool.h
@@ -17,7 +17,7 @@
     /// Called when the number of open connections to a target changes.
     using OpenCountHook = std::function<void(const TargetName&, std::size_t)>;
 
-    TargetConnectionPool(boost::asio::io_context& context, const Clock& clock, const HeaderNames& headerNames, Metrics& metrics, CompletedHook onCompleted, OpenCountHook onOpenCountChanged);
+    TargetConnectionPool(boost::asio::io_context& context, const Clock& clock, const HeaderNames& headerNames, Metrics& metrics, MemoryBudget& memory, CompletedHook onCompleted, OpenCountHook onOpenCountChanged);
 
     /// Sets the hook that is called when an aggregator has started a delegated request.
     void onAcknowledged(std::function<void(AttemptNumber)> hook) { m_onAcknowledged = std::move(hook); }
@@ -40,6 +40,7 @@
     const Clock& m_clock;
     const HeaderNames& m_headerNames;
     Metrics& m_metrics;
+    MemoryBudget& m_memory;
     CompletedHook m_onCompleted;
     OpenCountHook m_onOpenCountChanged;
     std::function<void(AttemptNumber)> m_onAcknowledged = [](AttemptNumber) {};
--- a/Pimentopoint/src/Serve/HostSettings.cpp
+++ b/Pimentopoint/src/Serve/HostSettings.cpp
@@ -32,6 +32,8 @@
 {
     constexpr std::uint64_t minDescriptors = 64;
     constexpr std::uint64_t maxDescriptorCount = 1 << 20;
+    constexpr std::uint64_t minMegabytes = 16;
+    constexpr std::uint64_t maxMegabytes = 1 << 20;
     constexpr Duration minTime = std::chrono::milliseconds(100);
     constexpr Duration maxTime = std::chrono::minutes(10);
     constexpr double maxSlack = 1e6;
@@ -41,7 +43,7 @@
     if (!problems.empty())
         throw InvalidDocument(source, problems);
     internal::DocumentReader root(YAML::Load(text), "", problems);
-    root.allowKeys({ "name", "dataCentre", "listen", "members", "platform", "descriptors", "processor", "times", "repeats", "logLevel" });
+    root.allowKeys({ "name", "dataCentre", "listen", "members", "platform", "descriptors", "memoryMegabytes", "processor", "times", "repeats", "logLevel" });
     HostSettings settings;
     settings.name = MemberName(root.text("name"));
     settings.dataCentre = DataCentreName(root.text("dataCentre"));
@@ -62,6 +64,7 @@
     });
     settings.platformEndpoint = root.endpoint("platform");
     settings.maxDescriptors = root.number("descriptors", minDescriptors, maxDescriptorCount, settings.maxDescriptors);
+    settings.memoryMegabytes = root.number("memoryMegabytes", minMegabytes, maxMegabytes, settings.memoryMegabytes);
     if (root.has("processor")) {
         root.section("processor", [&](internal::DocumentReader& processor) {
             processor.allowKeys({ "cores", "share" });
--- a/Pimentopoint/src/Serve/HostSettings.h
+++ b/Pimentopoint/src/Serve/HostSettings.h
@@ -4,6 +4,7 @@
 #include "../Core/Endpoint.h"
 #include "../Core/Ids.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
     std::vector<Endpoint> seeds; ///< Membership addresses of the hosts that are contacted first.
     Endpoint platformEndpoint; ///< Address of the platform's store.
     std::size_t maxDescriptors = 1024; ///< Most file descriptors, sockets included.
+    std::uint64_t memoryMegabytes = 128; ///< Memory that the process may use, in megabytes of 10^6 bytes; a part of it limits the replies in progress.
     Duration stopTimeout = std::chrono::seconds(6); ///< Time from the stop signal to the end of the process.
     Duration maxUpdateDelay = std::chrono::seconds(3); ///< Time within which a change published by the platform must be active on this host.
     Duration leavingTimeout = std::chrono::seconds(3); ///< Time for which a leaving target still replies.
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -40,6 +40,8 @@
     constexpr Duration subRequestProcessorTime = std::chrono::microseconds(60);
     /// Shortest interval between two requests for a member list. Hosts that start together know each other after about eight of them.
     constexpr Duration minMemberListInterval = std::chrono::milliseconds(500);
+    /// Fraction of the memory of the process that replies in progress may use. A buffer that grows is copied, so that the largest one is held twice for a moment; the rest holds connections, routes and targets.
+    constexpr double replyMemoryFraction = 0.25;
     constexpr unsigned readinessThreads = 2;
     constexpr std::size_t readinessBodyBytes = 1024;
     constexpr unsigned unavailable = 503;
@@ -83,6 +85,12 @@
         return age ? static_cast<std::uint64_t>(age->count()) : std::numeric_limits<std::uint64_t>::max();
     }
 
+    std::size_t replyMemoryBytes(const HostSettings& settings)
+    {
+        constexpr double bytesPerMegabyte = 1e6;
+        return static_cast<std::size_t>(static_cast<double>(settings.memoryMegabytes) * bytesPerMegabyte * replyMemoryFraction);
+    }
+
     std::uint64_t makeSeed(const HostSettings& settings, std::string_view purpose)
     {
         return hashOf(settings.name.value() + "/" + std::string(purpose)) ^ newIncarnation().value();
@@ -101,8 +109,9 @@
     , m_aggregatorPool(selfRecord(m_settings),
           [](const MemberName& host, std::string_view event, std::string_view cause) { Log::event(Severity::Info, event, { { "aggregator", host }, { "cause", cause } }); })
     , m_engine(m_targetPool, m_aggregatorPool, m_metrics, limitsFrom(m_settings), [this](const CallRecord& call) { recordCall(call); })
+    , m_replyMemory(replyMemoryBytes(m_settings))
     , m_targetConnections(
-          m_context, m_clock, platform::headerNames(), m_metrics,
+          m_context, m_clock, platform::headerNames(), m_metrics, m_replyMemory,
           [this](AttemptNumber attempt, TargetReply reply) {
               CallActions actions;
               m_engine.handleReply(attempt, std::move(reply), m_clock.now(), actions);
@@ -239,6 +248,8 @@
     m_targetConnections.closeExpired(now);
     m_targetPool.removeExpired(now);
     m_metrics.setGauge("pimentopoint_news_age_microseconds", "", inMicroseconds(m_updateFeed.age()));
+    m_metrics.setGauge("pimentopoint_reply_memory_bytes", "", m_replyMemory.usedBytes());
+    m_metrics.setGauge("pimentopoint_replies_released", "", m_replyMemory.releases());
     updateHosts();
     reloadSettings("settings file changed");
     Log::flush();
--- a/test/EdgeTest.cpp
+++ b/test/EdgeTest.cpp
@@ -23,6 +23,7 @@
     boost::asio::io_context context { 1 };
     BootClock clock;
     Metrics metrics;
+    MemoryBudget memory { std::size_t(64) * 1024 * 1024 };
 
     /// Runs until \a condition holds or 20 s have passed; \returns whether it holds
     bool until(const std::function<bool()>& condition)
@@ -131,7 +132,7 @@
         RawServer server(loop, port, each.text, each.afterReply);
         std::optional<TargetReply> reply;
         TargetConnectionPool connections(
-            loop.context, loop.clock, platform::headerNames(), loop.metrics, [&](AttemptNumber, TargetReply received) { reply = std::move(received); }, [](const TargetName&, std::size_t) {});
+            loop.context, loop.clock, platform::headerNames(), loop.metrics, loop.memory, [&](AttemptNumber, TargetReply received) { reply = std::move(received); }, [](const TargetName&, std::size_t) {});
         connections.send(sendTo(Endpoint(loopback, port), loop.clock));
         REQUIRE(loop.until([&] { return reply.has_value(); }));
         CHECK(reply->outcome == each.outcome);
@@ -175,7 +176,7 @@
         RawServer server(loop, port, text, RawServer::AfterReply::Stay);
         std::optional<TargetReply> reply;
         TargetConnectionPool connections(
-            loop.context, loop.clock, platform::headerNames(), loop.metrics, [&](AttemptNumber, TargetReply received) { reply = std::move(received); }, [](const TargetName&, std::size_t) {});
+            loop.context, loop.clock, platform::headerNames(), loop.metrics, loop.memory, [&](AttemptNumber, TargetReply received) { reply = std::move(received); }, [](const TargetName&, std::size_t) {});
         connections.send(sendTo(Endpoint(loopback, port), loop.clock));
         REQUIRE(loop.until([&] { return reply.has_value(); }));
         CHECK(reply->outcome == TargetReply::ReplyOutcome::Answered);
@@ -194,7 +195,7 @@
         std::size_t open = 0;
         int replies = 0;
         TargetConnectionPool connections(
-            loop.context, loop.clock, platform::headerNames(), loop.metrics, [&](AttemptNumber, const TargetReply&) { ++replies; }, [&](const TargetName&, std::size_t left) { open = left; });
+            loop.context, loop.clock, platform::headerNames(), loop.metrics, loop.memory, [&](AttemptNumber, const TargetReply&) { ++replies; }, [&](const TargetName&, std::size_t left) { open = left; });
         connections.send(sendTo(Endpoint(loopback, port), loop.clock));
         REQUIRE(loop.until([&] { return replies == 1; }));
         CHECK(loop.until([&] { return open == (extra ? 0 : 1); }));
@@ -207,7 +208,7 @@
     Loop loop;
     std::optional<TargetReply> reply;
     TargetConnectionPool connections(
-        loop.context, loop.clock, platform::headerNames(), loop.metrics, [&](AttemptNumber, TargetReply received) { reply = std::move(received); }, [](const TargetName&, std::size_t) {});
+        loop.context, loop.clock, platform::headerNames(), loop.metrics, loop.memory, [&](AttemptNumber, TargetReply received) { reply = std::move(received); }, [](const TargetName&, std::size_t) {});
     connections.send(sendTo(Endpoint(loopback, freePort()), loop.clock));
     REQUIRE(loop.until([&] { return reply.has_value(); }));
     CHECK(reply->outcome == TargetReply::ReplyOutcome::NotSent);
@@ -232,7 +233,7 @@
             server.emplace(loop, port, replyText("Content-Length: 2\r\n", "ok"), RawServer::AfterReply::Stay);
         std::vector<std::size_t> counts;
         TargetConnectionPool connections(
-            loop.context, loop.clock, platform::headerNames(), loop.metrics, [](AttemptNumber, const TargetReply&) {}, [&](const TargetName&, std::size_t open) { counts.push_back(open); });
+            loop.context, loop.clock, platform::headerNames(), loop.metrics, loop.memory, [](AttemptNumber, const TargetReply&) {}, [&](const TargetName&, std::size_t open) { counts.push_back(open); });
         if (each.preconnected)
             connections.open(TargetName("t"), Endpoint(loopback, port));
         else
@@ -270,7 +271,7 @@
     loop.context.run_for(std::chrono::milliseconds(50));
     std::vector<std::size_t> counts;
     TargetConnectionPool connections(
-        loop.context, loop.clock, platform::headerNames(), loop.metrics, [](AttemptNumber, const TargetReply&) {}, [&](const TargetName&, std::size_t open) { counts.push_back(open); });
+        loop.context, loop.clock, platform::headerNames(), loop.metrics, loop.memory, [](AttemptNumber, const TargetReply&) {}, [&](const TargetName&, std::size_t open) { counts.push_back(open); });
     connections.send(sendTo(Endpoint(loopback, port), loop.clock, 1));
     connections.send(sendTo(Endpoint(loopback, port), loop.clock, 2));
     loop.context.poll();
--- a/test/EndlessReplyTest.cpp
+++ b/test/EndlessReplyTest.cpp
@@ -237,3 +237,9 @@
         checkFlood(each.start, each.block, 4);
     }
 }
+
+// Guards against: replies that are each within their limit together exceed the memory of the process.
+TEST_CASE("Many replies in progress together keep within the memory of the process")
+{
+    checkFlood(replyHead("Content-Length: 8000000\r\n\r\n"), std::string(blockBytes, 'x'), 150);
+}
--- a/test/HandlerGuardTest.cpp
+++ b/test/HandlerGuardTest.cpp
@@ -17,6 +17,7 @@
     boost::asio::io_context context { 1 };
     BootClock clock;
     Metrics metrics;
+    MemoryBudget memory { std::size_t(64) * 1024 * 1024 };
     Endpoint endpoint = test::freeEndpoint();
 
     bool until(const std::function<bool()>& condition)
@@ -54,7 +55,7 @@
     int replies = 0;
     std::size_t open = 0;
     TargetConnectionPool connections(
-        loop.context, loop.clock, platform::headerNames(), loop.metrics,
+        loop.context, loop.clock, platform::headerNames(), loop.metrics, loop.memory,
         [&](AttemptNumber, const TargetReply&) {
             if (++replies == 1)
                 throw std::bad_alloc();
--- a/test/HostConnectionTest.cpp
+++ b/test/HostConnectionTest.cpp
@@ -16,6 +16,7 @@
     boost::asio::io_context context { 1 };
     BootClock clock;
     Metrics metrics;
+    MemoryBudget memory { std::size_t(64) * 1024 * 1024 };
     Endpoint endpoint = test::freeEndpoint();
     std::shared_ptr<const CallerRequest> receivedRequest;
     std::optional<CallId> call;
@@ -23,7 +24,7 @@
     std::vector<AttemptNumber> acknowledged;
     std::optional<TargetReply> reply;
     CallerServer server { context, clock, platform::headerNames(), endpoint, 8, hooks() };
-    TargetConnectionPool connections { context, clock, platform::headerNames(), metrics, [this](AttemptNumber, TargetReply each) { reply = std::move(each); }, [](const TargetName&, std::size_t) {} };
+    TargetConnectionPool connections { context, clock, platform::headerNames(), metrics, memory, [this](AttemptNumber, TargetReply each) { reply = std::move(each); }, [](const TargetName&, std::size_t) {} };
 
     TwoHosts()
     {
