Limit the memory of answers that callers have not accepted

Callers saw: nothing yet; found beside the limit on replies in progress. A reply within its limit that is complete leaves that budget and becomes an answer; a caller that does not read keeps it in memory for 10 s, and the connection's buffer kept its capacity for as long as the connection was open.

Change: an answer that the socket did not take at once counts towards the same MemoryBudget. If it is the largest when the limit is exceeded, its connection is closed ("answer-dropped"), which can't look like a complete answer since a length was stated. Buffers above 64 KB are freed once they are written.

--- a/Pimentopoint/src/Net/CallerConnection.cpp
+++ b/Pimentopoint/src/Net/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include "CallerConnection.h"
 
+#include "../Core/Log.h"
 #include "HandlerGuard.h"
 #include "HostHeaders.h"
 #include "HttpText.h"
@@ -20,6 +21,8 @@
 
     /// Maximum number of bytes read ahead of the request being run; beyond it, reading stops until that request is answered.
     constexpr std::size_t maxReadAhead = std::size_t(64) * 1024;
+    /// Buffers of larger answers are freed once they are written.
+    constexpr std::size_t maxRetainedOutput = std::size_t(64) * 1024;
     /// A caller that accepts no byte of its answer for this long is assumed to be disconnected; covers several round trips and retransmissions of a lost packet.
     constexpr Duration writeTimeout = std::chrono::seconds(10);
     /// Time for which a connection is read after its last answer, so that a reset does not discard the answer.
@@ -58,6 +61,8 @@
     , m_hooks(std::move(hooks))
     , m_lastActivityAt(clock.now())
 {
+    if (m_hooks.answerMemory)
+        m_charge.emplace(*m_hooks.answerMemory, [this] { releaseAnswer(); });
 }
 
 void CallerConnection::start()
@@ -261,12 +266,26 @@
         asio::post(m_socket.get_executor(), [self = shared_from_this(), error] { self->guard([&] { self->handleWritten(error); }); });
         return;
     }
+    if (m_charge && !m_charge->set(m_output.capacity())) {
+        releaseAnswer();
+        return;
+    }
     asio::async_write(m_socket, asio::buffer(m_output) + size, [self = shared_from_this()](const boost::system::error_code& failed, std::size_t) { self->guard([&] { self->handleWritten(failed); }); });
 }
 
+void CallerConnection::releaseAnswer()
+{
+    Log::event(Severity::Warning, "answer-dropped", { { "bytes", std::uint64_t(m_output.size()) }, { "cause", "the answers that callers have not accepted need more memory than they may use, and this one needs the most" } });
+    close();
+}
+
 void CallerConnection::handleWritten(const boost::system::error_code& error)
 {
     m_writing = false;
+    if (m_charge)
+        m_charge->clear();
+    if (m_output.capacity() > maxRetainedOutput)
+        m_output = {};
     if (m_closed)
         return;
     if (error) {
--- a/Pimentopoint/src/Net/CallerConnection.h
+++ b/Pimentopoint/src/Net/CallerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../Core/Clock.h"
+#include "../Core/MemoryCharge.h"
 #include "../Serve/RoutePolicy.h"
 #include "../Serve/TargetReply.h"
 #include "HeaderNames.h"
@@ -29,6 +30,7 @@
         std::function<CallerLimits()> limits;
         std::function<bool()> draining; ///< Whether answers contain the header "Connection: close".
         bool acceptsDelegations = false; ///< Whether the callers are hosts that delegate fan-outs to this one.
+        MemoryBudget* answerMemory = nullptr; ///< Limits the answers that callers have not accepted yet; null: they are not limited.
     };
 
     CallerConnection(boost::asio::ip::tcp::socket socket, const Clock& clock, const HeaderNames& headerNames, Hooks hooks);
@@ -57,6 +59,8 @@
     void acknowledge();
     void reject(unsigned status, const char* reason);
     void write();
+    /// Closes the connection, since its answer needs more memory than it may use.
+    void releaseAnswer();
     void handleWritten(const boost::system::error_code& error);
     void beginLinger();
     /// Runs \a handler; an exception that leaves it ends this connection only.
@@ -69,6 +73,7 @@
     std::string m_input;
     std::optional<Parser> m_parser;
     std::string m_output;
+    std::optional<MemoryCharge> m_charge; ///< Memory of the answer being written; nothing if it is not limited.
     std::optional<CallId> m_call;
     bool m_headRequest = false;
     bool m_keepAlive = true;
--- a/Pimentopoint/src/Net/CallerServer.cpp
+++ b/Pimentopoint/src/Net/CallerServer.cpp
@@ -42,6 +42,7 @@
     hooks.closed = [this](const std::shared_ptr<CallerConnection>& connection) { m_connections.erase(connection); };
     hooks.limits = m_hooks.limits;
     hooks.acceptsDelegations = m_hooks.acceptsDelegations;
+    hooks.answerMemory = m_hooks.answerMemory;
     hooks.draining = [this] { return m_draining; };
     auto connection = std::make_shared<CallerConnection>(std::move(socket), m_clock, m_headerNames, std::move(hooks));
     m_connections.insert(connection);
--- a/Pimentopoint/src/Net/CallerServer.h
+++ b/Pimentopoint/src/Net/CallerServer.h
@@ -21,6 +21,7 @@
         std::function<CallerLimits()> limits;
         std::function<CallId()> nextCallId {}; ///< Assigns the call ids; if it is empty, the server assigns them.
         bool acceptsDelegations = false; ///< Whether the callers are hosts that delegate fan-outs to this one.
+        MemoryBudget* answerMemory = nullptr; ///< Limits the answers that callers have not accepted yet; null: they are not limited.
     };
 
     /// \throws ListenFailure if \a endpoint can't be bound
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -40,7 +40,7 @@
     constexpr Duration subRequestProcessorTime = std::chrono::microseconds(60);
     /// Shortest interval between two requests for a member list. Hosts that start together know each other after about eight of them.
     constexpr Duration minMemberListInterval = std::chrono::milliseconds(500);
-    /// Fraction of the memory of the process that replies in progress may use. A buffer that grows is copied, so that the largest one is held twice for a moment; the rest holds connections, routes and targets.
+    /// Fraction of the memory of the process that replies in progress and answers that callers have not accepted may use together. A buffer that grows is copied, so that the largest one is held twice for a moment; the rest holds connections, routes and targets.
     constexpr double replyMemoryFraction = 0.25;
     constexpr unsigned readinessThreads = 2;
     constexpr std::size_t readinessBodyBytes = 1024;
@@ -159,6 +159,7 @@
     hooks.limits = [this] { return m_engine.routing() ? m_engine.routing()->limits() : CallerLimits(); };
     hooks.nextCallId = [this] { return CallId(++m_lastCall); };
     hooks.acceptsDelegations = fromHosts;
+    hooks.answerMemory = &m_replyMemory;
     return hooks;
 }
 
--- a/daemons/EdgeHost.h
+++ b/daemons/EdgeHost.h
@@ -67,7 +67,7 @@
     TargetPool m_targetPool;
     AggregatorPool m_aggregatorPool;
     CallEngine m_engine;
-    MemoryBudget m_replyMemory; ///< Limits the replies in progress.
+    MemoryBudget m_replyMemory; ///< Limits the replies in progress and the answers that callers have not accepted.
     TargetConnectionPool m_targetConnections;
     std::uint64_t m_lastCall = 0;
     CallerServer m_callerServer;
--- a/test/EndlessReplyTest.cpp
+++ b/test/EndlessReplyTest.cpp
@@ -103,6 +103,18 @@
         sendNext(service, m_callers.back());
     }
 
+    /// Sends \a count requests to the flooding target, one after the other and each over a connection whose answer is never read.
+    void startSilentCallers(std::size_t count)
+    {
+        constexpr std::chrono::milliseconds replyTime(30);
+        for (std::size_t i = 0; i < count; ++i) {
+            auto& socket = m_silentCallers.emplace_back(m_context);
+            socket.connect({ boost::asio::ip::make_address_v4(m_callerEndpoint.address()), m_callerEndpoint.port() });
+            boost::asio::write(socket, boost::asio::buffer("GET /faulty/q HTTP/1.1\r\nHost: h.example\r\n" + platform::headerNames().requestId + ": silent" + std::to_string(i) + "\r\n\r\n"));
+            until([] { return false; }, replyTime);
+        }
+    }
+
     /// \returns the number of answers with \a status to requests to \a service; status 0 counts requests that ended without an answer
     std::uint64_t answers(const std::string& service, unsigned status) const
     {
@@ -163,6 +175,7 @@
     FloodingTarget m_flood;
     ChildProcess m_edge { "pimentopoint-edge", settings() };
     std::vector<std::shared_ptr<HttpReader>> m_callers;
+    std::vector<boost::asio::ip::tcp::socket> m_silentCallers;
     std::map<std::pair<std::string, unsigned>, std::uint64_t> m_answers;
     std::uint64_t m_requests = 0;
 };
@@ -172,7 +185,7 @@
 constexpr std::chrono::milliseconds floodTime(1500);
 
 /// Plays a flooding target beside a sound one and checks that only the callers of the flooding one notice.
-void checkFlood(const std::string& start, const std::string& block, std::size_t faultyCallers)
+void checkFlood(const std::string& start, const std::string& block, std::size_t faultyCallers, std::size_t silentCallers = 0)
 {
     EdgeBesideFlood edge(start, block);
     for (int i = 0; i < 4; ++i)
@@ -181,6 +194,7 @@
     std::uint64_t lostBefore = edge.answers("sound", 0);
     for (std::size_t i = 0; i < faultyCallers; ++i)
         edge.startCaller("faulty");
+    edge.startSilentCallers(silentCallers);
     REQUIRE(edge.until([&] { return edge.floodedRequests() > 0; }));
     std::uint64_t servedBefore = edge.answers("sound", 200);
     std::optional<int> exitCode;
@@ -243,3 +257,9 @@
 {
     checkFlood(replyHead("Content-Length: 8000000\r\n\r\n"), std::string(blockBytes, 'x'), 150);
 }
+
+// Guards against: answers that callers don't read exceed the memory of the process, each of them within its limit.
+TEST_CASE("Many large answers that callers do not read keep within the memory of the process")
+{
+    checkFlood(replyHead("Content-Length: 8000000\r\n\r\n") + std::string(8000000, 'x'), "", 0, 60);
+}
