Keep only the greatest records of a fan-out's replies while others are awaited

Callers saw: nothing yet; found beside the limits on replies. A fan-out kept the whole body of each reply until its last shard had replied or its time was over, also the bodies of failures, which nobody reads; no limit counts them, since the replies are complete.

Bodies of failed sub-requests are dropped.

--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -150,6 +150,9 @@
     } else if (reply.outcome == TargetReply::ReplyOutcome::Answered && !reply.notRun && isSuccess(reply.status)) {
         subRequest.succeeded = true;
         subRequest.reply = std::move(reply);
+        // The bodies of a fan-out are kept until all shards have replied.
+        if (m_route->isFanOut())
+            keepTopRecords(subRequest.reply.body, m_route->topRecords);
         m_wakeupChanged = m_wakeupChanged || coverageSuffices(m_succeededCount + 1) != coverageSuffices(m_succeededCount);
         ++m_succeededCount;
         for (AttemptNumber other : subRequest.outstanding)
@@ -158,6 +161,8 @@
     } else {
         subRequest.mayHaveRun = subRequest.mayHaveRun || !reply.notRun;
         subRequest.reply = std::move(reply);
+        if (m_route->isFanOut())
+            subRequest.reply.body = {};
         if (subRequest.reply.outcome == TargetReply::ReplyOutcome::Answered && !mayRetryElsewhere(subRequest.reply))
             fail(subRequest);
         else
--- a/Pimentopoint/src/Serve/TopRecords.cpp
+++ b/Pimentopoint/src/Serve/TopRecords.cpp
@@ -21,4 +21,12 @@
     return merged;
 }
 
+void keepTopRecords(std::string& body, std::size_t count)
+{
+    // Sorting a body that is only a little larger would cost more than it saves.
+    constexpr std::size_t minReduction = 4;
+    if (body.size() / recordBytes / minReduction > count)
+        body = topRecords({ body }, count);
+}
+
 } // namespace pimentopoint
--- a/test/EndlessReplyTest.cpp
+++ b/test/EndlessReplyTest.cpp
@@ -34,21 +34,30 @@
             if (error)
                 return;
             auto socket = std::make_shared<Socket>(std::move(accepted));
-            auto request = std::make_shared<std::string>(4096, '\0');
-            socket->async_read_some(boost::asio::buffer(*request), [this, socket, request](const boost::system::error_code& failed, std::size_t) {
-                if (failed)
-                    return;
-                ++m_requestCount;
-                send(socket, m_start);
-            });
+            serve(socket);
             accept();
         });
     }
 
+    void serve(const std::shared_ptr<Socket>& socket)
+    {
+        auto request = std::make_shared<std::string>(4096, '\0');
+        socket->async_read_some(boost::asio::buffer(*request), [this, socket, request](const boost::system::error_code& failed, std::size_t) {
+            if (failed)
+                return;
+            ++m_requestCount;
+            send(socket, m_start);
+        });
+    }
+
     void send(const std::shared_ptr<Socket>& socket, const std::string& bytes)
     {
         boost::asio::async_write(*socket, boost::asio::buffer(bytes), [this, socket](const boost::system::error_code& failed, std::size_t) {
-            if (!failed && !m_block.empty())
+            if (failed)
+                return;
+            if (m_block.empty())
+                serve(socket);
+            else
                 send(socket, m_block);
         });
     }
@@ -72,15 +81,45 @@
     return result;
 }
 
+constexpr std::chrono::milliseconds floodTime(1500);
+/// Time for which a large reply is on its way.
+constexpr std::chrono::milliseconds replyTime(30);
+
+/// What the targets of the service "faulty" do, and who calls it.
+struct Flood {
+    std::string start; ///< Sent in reply to each request.
+    std::string block; ///< Sent after it again and again; empty: nothing.
+    std::size_t callers = 4; ///< Number of callers, each with one request at a time.
+    std::size_t silentCallers = 0; ///< Number of callers that do not read their answers.
+    std::size_t shards = 0; ///< Number of services over which requests fan out; 0: it is a single service.
+    bool hasSilentShard = false; ///< Whether the targets of the first shard do not reply at all.
+};
+
 /// An edge process whose service "sound" has a target without faults and whose service "faulty" has a flooding one.
 class EdgeBesideFlood {
 public:
-    EdgeBesideFlood(const std::string& start, const std::string& block)
-        : m_flood(m_context, m_floodEndpoint, start, block)
+    explicit EdgeBesideFlood(const Flood& flood)
+        : m_flood(m_context, m_floodEndpoint, flood.start, flood.block)
     {
-        addTarget("sound", m_soundEndpoint);
-        addTarget("faulty", m_floodEndpoint);
-        nlohmann::json configuration { { "version", 1 }, { "services", { service("sound"), service("faulty") } }, { "routes", { route("sound"), route("faulty") } },
+        addTarget("sound", "sound", m_soundEndpoint);
+        nlohmann::json services { service("sound"), service("faulty") };
+        nlohmann::json faultyRoute = route("faulty");
+        if (!flood.shards)
+            addTarget("faulty", "faulty", m_floodEndpoint);
+        else
+            faultyRoute.erase("service");
+        for (std::size_t i = 0; i < flood.shards; ++i) {
+            std::string name = "shard" + std::to_string(i);
+            services.push_back(service(name));
+            faultyRoute["fanout"].push_back(name);
+            for (const char* replica : { "a", "b", "c" })
+                addTarget(name + replica, name, flood.hasSilentShard && !i ? m_silentEndpoint : m_floodEndpoint);
+        }
+        if (flood.shards) {
+            faultyRoute["top_k"] = 10;
+            faultyRoute["min_coverage"] = 0.5;
+        }
+        nlohmann::json configuration { { "version", 1 }, { "services", services }, { "routes", { route("sound"), faultyRoute } },
             { "limits", { { "header_bytes", 16384 }, { "body_bytes", 65536 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } };
         m_store.put("op/config", configuration.dump());
     }
@@ -96,6 +135,11 @@
         return condition();
     }
 
+    void runFor(std::chrono::milliseconds time)
+    {
+        until([] { return false; }, time);
+    }
+
     /// Sends requests to \a service one after the other over one connection from now on; counts the statuses of their answers.
     void startCaller(const std::string& service)
     {
@@ -106,12 +150,11 @@
     /// Sends \a count requests to the flooding target, one after the other and each over a connection whose answer is never read.
     void startSilentCallers(std::size_t count)
     {
-        constexpr std::chrono::milliseconds replyTime(30);
         for (std::size_t i = 0; i < count; ++i) {
             auto& socket = m_silentCallers.emplace_back(m_context);
             socket.connect({ boost::asio::ip::make_address_v4(m_callerEndpoint.address()), m_callerEndpoint.port() });
             boost::asio::write(socket, boost::asio::buffer("GET /faulty/q HTTP/1.1\r\nHost: h.example\r\n" + platform::headerNames().requestId + ": silent" + std::to_string(i) + "\r\n\r\n"));
-            until([] { return false; }, replyTime);
+            runFor(replyTime);
         }
     }
 
@@ -142,10 +185,10 @@
         return behaviour;
     }
 
-    void addTarget(const std::string& service, const Endpoint& endpoint)
+    void addTarget(const std::string& name, const std::string& service, const Endpoint& endpoint)
     {
         nlohmann::json entry { { "service", service }, { "address", endpoint.text() }, { "zone", "a" }, { "version", "v1" }, { "slots", 500 }, { "state", "ready" }, { "warmup_left_ms", 0 }, { "sequence", 1 } };
-        m_store.put("servers/" + service, entry.dump());
+        m_store.put("servers/" + name, entry.dump());
     }
 
     void sendNext(const std::string& service, const std::shared_ptr<HttpReader>& caller)
@@ -169,10 +212,12 @@
     Endpoint m_storeEndpoint = test::freeEndpoint();
     Endpoint m_soundEndpoint = test::freeEndpoint();
     Endpoint m_floodEndpoint = test::freeEndpoint();
+    Endpoint m_silentEndpoint = test::freeEndpoint();
     Endpoint m_callerEndpoint = test::freeEndpoint();
     StandinStore m_store { m_context, m_clock, m_storeEndpoint };
     StandinService m_sound { m_context, m_clock, platform::headerNames(), m_soundEndpoint, "sound", answerSoundly };
     FloodingTarget m_flood;
+    FloodingTarget m_silent { m_context, m_silentEndpoint, "", "" };
     ChildProcess m_edge { "pimentopoint-edge", settings() };
     std::vector<std::shared_ptr<HttpReader>> m_callers;
     std::vector<boost::asio::ip::tcp::socket> m_silentCallers;
@@ -182,19 +227,21 @@
 
 /// Memory that an edge process uses at most if its settings don't state any.
 constexpr double defaultMemoryMegabytes = 128;
-constexpr std::chrono::milliseconds floodTime(1500);
 
 /// Plays a flooding target beside a sound one and checks that only the callers of the flooding one notice.
-void checkFlood(const std::string& start, const std::string& block, std::size_t faultyCallers, std::size_t silentCallers = 0)
+void checkFlood(const Flood& flood)
 {
-    EdgeBesideFlood edge(start, block);
+    EdgeBesideFlood edge(flood);
     for (int i = 0; i < 4; ++i)
         edge.startCaller("sound");
     REQUIRE(edge.until([&] { return edge.answers("sound", 200) >= 4; }));
     std::uint64_t lostBefore = edge.answers("sound", 0);
-    for (std::size_t i = 0; i < faultyCallers; ++i)
+    for (std::size_t i = 0; i < flood.callers; ++i) {
         edge.startCaller("faulty");
-    edge.startSilentCallers(silentCallers);
+        if (flood.hasSilentShard)
+            edge.runFor(replyTime);
+    }
+    edge.startSilentCallers(flood.silentCallers);
     REQUIRE(edge.until([&] { return edge.floodedRequests() > 0; }));
     std::uint64_t servedBefore = edge.answers("sound", 200);
     std::optional<int> exitCode;
@@ -220,7 +267,7 @@
     for (const char* length : { "4999999999999999999", "18446744073709551615", "4000000000", "9000000" }) {
         INFO("Content-Length: " << length);
         // The first bytes of the body arrive with the head.
-        checkFlood(replyHead("Content-Length: " + std::string(length) + "\r\n\r\nhello"), std::string(blockBytes, 'x'), 4);
+        checkFlood({ replyHead("Content-Length: " + std::string(length) + "\r\n\r\nhello"), std::string(blockBytes, 'x') });
     }
 }
 
@@ -248,18 +295,30 @@
     };
     for (const Case& each : cases) {
         INFO(each.name);
-        checkFlood(each.start, each.block, 4);
+        checkFlood({ each.start, each.block });
     }
 }
 
 // Guards against: replies that are each within their limit together exceed the memory of the process.
 TEST_CASE("Many replies in progress together keep within the memory of the process")
 {
-    checkFlood(replyHead("Content-Length: 8000000\r\n\r\n"), std::string(blockBytes, 'x'), 150);
+    checkFlood({ replyHead("Content-Length: 8000000\r\n\r\n"), std::string(blockBytes, 'x'), 150 });
 }
 
 // Guards against: answers that callers don't read exceed the memory of the process, each of them within its limit.
 TEST_CASE("Many large answers that callers do not read keep within the memory of the process")
 {
-    checkFlood(replyHead("Content-Length: 8000000\r\n\r\n") + std::string(8000000, 'x'), "", 0, 60);
+    checkFlood({ replyHead("Content-Length: 8000000\r\n\r\n") + std::string(8000000, 'x'), "", 0, 60 });
+}
+
+// Guards against: replies in progress of fan-outs whose targets all misbehave exceed the memory of the process.
+TEST_CASE("Fan-outs over targets that all reply without end keep within the memory of the process")
+{
+    checkFlood({ replyHead("\r\n"), std::string(blockBytes, 'x'), 8, 0, 10 });
+}
+
+// Guards against: the whole bodies of a fan-out's replies are kept until its last shard has replied.
+TEST_CASE("Fan-outs that wait for a shard after large replies of the others keep within the memory of the process")
+{
+    checkFlood({ replyHead("Content-Length: 1000000\r\n\r\n") + std::string(1000000, 'x'), "", 40, 0, 10, true });
 }
