Test requests with a body too large whose bytes look like a header

Result: three new cases in "A malformed or oversized request is rejected with its status, and the connection is closed" pass without a change of the product: status 413 at once, no request, the connection closed.

--- a/test/CallerConnectionTest.cpp
+++ b/test/CallerConnectionTest.cpp
@@ -111,6 +111,9 @@
         { "no id", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "400" },
         { "two lengths", "POST / HTTP/1.1\r\nId: 1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", "400" },
         { "a body too large", "POST / HTTP/1.1\r\nId: 1\r\nContent-Length: 65\r\n\r\n" + std::string(65, 'x'), "413" },
+        { "a body too large that looks like a header", "POST / HTTP/1.1\r\nId: 1\r\nContent-Length: 65\r\n\r\nX: 1\r\n\r\n" + std::string(57, 'x'), "413" },
+        { "a body too large that looks like a header line", "POST / HTTP/1.1\r\nId: 1\r\nContent-Length: 65\r\n\r\nX: 1\r\n" + std::string(59, 'x'), "413" },
+        { "a length that can't be allocated", "POST / HTTP/1.1\r\nId: 1\r\nContent-Length: 4999999999999999999\r\n\r\nhello", "413" },
         { "a chunked body too large", "POST / HTTP/1.1\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n50\r\n" + std::string(0x50, 'x') + "\r\n0\r\n\r\n", "413" },
         { "a header too large", "GET / HTTP/1.1\r\nId: 1\r\nX: " + std::string(600, 'x') + "\r\n\r\n", "431" },
     };
