Refuse times out of range in headers and paths that others send

Callers saw: a request whose stated time to wait is "nan" was given no time at all on arm64 (another arbitrary time elsewhere) and was refused, where a value that can't be read means the default of 30 s.

Cause: numbers from callers, targets and other hosts were converted to times without a check of their range, which is undefined: not a number, more than 2^63 microseconds spent by a delegating host, processing times and ages, a wait of a read, a keep-alive timeout.

The keep-alive timeout, ages and processing times have no test of their own.

--- a/Pimentopoint/src/Net/CallerConnection.cpp
+++ b/Pimentopoint/src/Net/CallerConnection.cpp
@@ -46,7 +46,9 @@
         double milliseconds = 0;
         auto [end, failed] = std::from_chars(value.data(), value.data() + value.size(), milliseconds);
         constexpr double maxMilliseconds = 1e9;
-        if (failed != std::errc() || milliseconds < 0 || milliseconds > maxMilliseconds)
+        // Written so that it holds for no value that is not a number.
+        bool valid = failed == std::errc() && milliseconds >= 0 && milliseconds <= maxMilliseconds;
+        if (!valid)
             return defaultWait;
         constexpr double microsecondsPerMillisecond = 1000;
         return Duration(static_cast<Duration::rep>(milliseconds * microsecondsPerMillisecond));
@@ -158,13 +160,13 @@
 bool CallerConnection::parseDelegation(const http::fields& message, CallerRequest& request) const
 {
     auto version = parseNumber(headerValue(message, host_headers::version));
-    auto elapsed = parseNumber(headerValue(message, host_headers::spent));
+    auto elapsed = parseMicroseconds(headerValue(message, host_headers::spent));
     if (!version || !elapsed)
         return false;
     auto shards = parseNumbers(headerValue(message, host_headers::shards));
     if (!shards)
         return false;
-    request.delegation = Delegation { ConfigurationVersion(*version), Duration(static_cast<Duration::rep>(*elapsed)), std::move(*shards) };
+    request.delegation = Delegation { ConfigurationVersion(*version), *elapsed, std::move(*shards) };
     return true;
 }
 
--- a/Pimentopoint/src/Net/HttpText.cpp
+++ b/Pimentopoint/src/Net/HttpText.cpp
@@ -86,6 +86,13 @@
     return seconds ? std::optional(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(*seconds, maxSeconds)))) : std::nullopt;
 }
 
+std::optional<Duration> parseMicroseconds(std::string_view value)
+{
+    constexpr std::uint64_t microsecondsPerDay = 86'400'000'000;
+    auto microseconds = parseNumber(value);
+    return microseconds && *microseconds <= microsecondsPerDay ? std::optional(Duration(static_cast<Duration::rep>(*microseconds))) : std::nullopt;
+}
+
 std::optional<std::vector<std::size_t>> parseNumbers(std::string_view value)
 {
     std::vector<std::size_t> numbers;
--- a/Pimentopoint/src/Net/HttpText.h
+++ b/Pimentopoint/src/Net/HttpText.h
@@ -31,6 +31,9 @@
 /// \returns the time in \a value, a number of seconds, at most an hour; nothing if it is anything else, for example a date
 std::optional<Duration> parseRetryAfter(std::string_view value);
 
+/// \returns the time in \a value, a decimal number of microseconds, at most a day; nothing if it is anything else
+std::optional<Duration> parseMicroseconds(std::string_view value);
+
 /// \returns the comma-separated numbers in \a value, which may be empty, or nothing if \a value is not such a list
 std::optional<std::vector<std::size_t>> parseNumbers(std::string_view value);
 
--- a/Pimentopoint/src/Net/TargetConnection.cpp
+++ b/Pimentopoint/src/Net/TargetConnection.cpp
@@ -6,6 +6,7 @@
 #include "ReadAvailable.h"
 #include "SocketOptions.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
 
@@ -24,6 +25,8 @@
     constexpr Duration defaultKeepAlive = std::chrono::seconds(4);
     /// Fraction of the stated timeout that is used; the rest covers the network delay and deviations of the target's clock.
     constexpr double keepAliveFraction = 0.8;
+    /// Longer timeouts that targets state are not relied on.
+    constexpr long maxKeepAliveSeconds = 3600;
     /// Replies are records or documents of a few kilobytes; a body above this limit is not a valid reply.
     constexpr std::uint64_t maxBodyBytes = std::uint64_t(8) * 1024 * 1024;
     constexpr std::uint32_t maxHeaderBytes = std::uint32_t(32) * 1024;
@@ -249,7 +252,7 @@
         const char* first = value.data() + at + std::string_view("timeout=").size();
         auto [end, failed] = std::from_chars(first, value.data() + value.size(), seconds);
         if (failed == std::errc())
-            keepAlive = std::chrono::duration_cast<Duration>(std::chrono::seconds(seconds) * keepAliveFraction);
+            keepAlive = std::chrono::duration_cast<Duration>(std::chrono::seconds(std::clamp(seconds, 0L, maxKeepAliveSeconds)) * keepAliveFraction);
     }
     return m_clock.now() + keepAlive;
 }
@@ -259,7 +262,7 @@
     const auto& message = m_parser->reply();
     // A host replies with 503 only to requests that it did not run.
     reply.notRun = reply.status == unavailable;
-    reply.processingTime = Duration(static_cast<Duration::rep>(parseNumber(headerValue(message, host_headers::took)).value_or(0)));
+    reply.processingTime = parseMicroseconds(headerValue(message, host_headers::took)).value_or(Duration(0));
     reply.subRequestSignatures = std::string(headerValue(message, m_headerNames.subRequestSignatures));
     reply.signature = reply.subRequestSignatures;
     auto missing = parseNumber(headerValue(message, m_headerNames.missingShards));
--- a/Pimentopoint/src/Net/UpdateFeed.cpp
+++ b/Pimentopoint/src/Net/UpdateFeed.cpp
@@ -23,8 +23,7 @@
 
     std::optional<Duration> durationHeader(const HttpReader::Result& response, std::string_view name)
     {
-        auto microseconds = parseNumber(headerValue(response.headers, name));
-        return microseconds ? std::optional(Duration(static_cast<Duration::rep>(*microseconds))) : std::nullopt;
+        return parseMicroseconds(headerValue(response.headers, name));
     }
 
     std::optional<ReplyAge> ageOf(const HttpReader::Result& response)
--- a/Pimentopoint/src/Serve/UpdateFormat.cpp
+++ b/Pimentopoint/src/Serve/UpdateFormat.cpp
@@ -12,7 +12,7 @@
     constexpr std::string_view watchPath = "/v1/news/since/";
     constexpr unsigned statusOk = 200;
     /// Longest wait of a watch that another host may request.
-    constexpr Duration maxWait = std::chrono::seconds(30);
+    constexpr std::chrono::milliseconds maxWait = std::chrono::seconds(30);
 
     std::optional<std::uint64_t> parseNumber(std::string_view text)
     {
@@ -45,7 +45,7 @@
         return std::nullopt;
     auto after = parseNumber(rest.substr(0, slash));
     auto wait = parseNumber(rest.substr(slash + 1));
-    if (!after || !wait || std::chrono::milliseconds(*wait) > maxWait)
+    if (!after || !wait || *wait > static_cast<std::uint64_t>(maxWait.count()))
         return std::nullopt;
     read.kind = StoreRead::Kind::Watch;
     read.afterRevision = *after;
--- a/test/CallerConnectionTest.cpp
+++ b/test/CallerConnectionTest.cpp
@@ -128,6 +128,25 @@
     }
 }
 
+// Guards against: a number that can't be converted to a time becomes an arbitrary one.
+TEST_CASE("A caller that states no usable time to wait is given the default one")
+{
+    struct Case {
+        const char* value;
+        Duration expected;
+    };
+    constexpr Duration defaultWait = std::chrono::seconds(30);
+    for (const Case& each : { Case { "250", std::chrono::milliseconds(250) }, Case { "0.5", std::chrono::microseconds(500) }, Case { "nan", defaultWait }, Case { "-nan", defaultWait }, Case { "inf", defaultWait },
+             Case { "-1", defaultWait }, Case { "1e300", defaultWait }, Case { "1e400", defaultWait }, Case { "", defaultWait }, Case { "x", defaultWait } }) {
+        INFO("'" << each.value << "'");
+        ServerFixture fixture;
+        auto socket = fixture.connect();
+        fixture.talk(*socket, "GET / HTTP/1.1\r\nHost: h\r\nId: 1\r\nWait: " + std::string(each.value) + "\r\n\r\n", [&](const std::string&) { return !fixture.requests.empty(); });
+        REQUIRE(fixture.requests.size() == 1);
+        CHECK(fixture.requests[0].timeout == each.expected);
+    }
+}
+
 TEST_CASE("A caller's disconnect while its request runs is detected, also after bytes of the next request")
 {
     for (const char* more : { "", "GET /next HTTP/1.1\r\nId: 2\r\n" }) {
--- a/test/HostConnectionTest.cpp
+++ b/test/HostConnectionTest.cpp
@@ -140,6 +140,7 @@
 {
     const std::string id = platform::headerNames().requestId + ": id1\r\n";
     for (const char* headers : { "", "Pimentopoint-Version: 7\r\n", "Pimentopoint-Version: x\r\nPimentopoint-Spent: 1\r\n", "Pimentopoint-Version: 7\r\nPimentopoint-Spent: -1\r\n",
+             "Pimentopoint-Version: 7\r\nPimentopoint-Spent: 9223372036854775808\r\n",
              "Pimentopoint-Version: 7\r\nPimentopoint-Spent: 1\r\nPimentopoint-Shards: 1,,2\r\n" }) {
         INFO(headers);
         TwoHosts hosts;
--- a/test/UpdateTest.cpp
+++ b/test/UpdateTest.cpp
@@ -68,6 +68,15 @@
 
 } // namespace
 
+TEST_CASE("The path of a read with a wait that is too long or out of range is refused")
+{
+    CHECK(parseUpdatePath("/v1/news/since/5/30000"));
+    for (const char* wait : { "30001", "9223372036854775807", "9223372036854775808", "18446744073709551615", "18446744073709551616", "-1", "" }) {
+        INFO(wait);
+        CHECK_FALSE(parseUpdatePath(std::string("/v1/news/since/5/") + wait));
+    }
+}
+
 TEST_CASE("One host of each data centre reads the store, the others read from that host")
 {
     std::size_t storeReaders = 0;
