Count entries of the store that are refused

pimentopoint_entries_refused_total counts what the line "entry-refused" logs, so that odd entries of another writer are seen without reading logs. No test of its own.

--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -371,6 +371,7 @@
             Log::event(Severity::Info, evacuation->active ? "evacuation-begins" : "evacuation-ends", { { "evacuated", evacuation->dataCentre }, { "revision", item.revision } });
         }
     } catch (const std::exception& malformed) {
+        m_metrics.add("pimentopoint_entries_refused_total", "");
         Log::event(Severity::Warning, "entry-refused", { { "key", item.key }, { "cause", malformed.what() }, { "revision", item.revision } });
         if (auto name = platform::parseTargetKey(item.key))
             m_targetPool.remove(*name, m_clock.now());
