--- a/Pimentopoint/src/Net/ReplyBody.h
+++ b/Pimentopoint/src/Net/ReplyBody.h
@@ -16,10 +16,10 @@
 struct ReplyBody {
     using value_type = std::string;
 
-    class reader {
+    class Reader {
     public:
         template <bool isRequest, typename Fields>
-        reader(boost::beast::http::header<isRequest, Fields>&, value_type& body)
+        Reader(boost::beast::http::header<isRequest, Fields>&, value_type& body)
             : m_body(body)
         {
         }
@@ -41,6 +41,7 @@
     private:
         value_type& m_body;
     };
+    using reader = Reader; ///< The name that Boost.Beast expects.
 };
 
 } // namespace pimentopoint
