State which limit a reply exceeds

Change: the cause in "target-doubted" and "news-read-failed" names the head, the body, the chunk headers or trailer, or invalid HTTP. HttpReaderTest checks it for five kinds of replies.

--- a/Pimentopoint/src/Net/HttpReader.cpp
+++ b/Pimentopoint/src/Net/HttpReader.cpp
@@ -96,7 +96,7 @@
         return;
     }
     if (progress == ReplyParser::Progress::Invalid) {
-        fail("the reply must be valid HTTP within the size limits");
+        fail(m_parser->cause());
         return;
     }
     Result result;
--- a/Pimentopoint/src/Net/ReplyParser.cpp
+++ b/Pimentopoint/src/Net/ReplyParser.cpp
@@ -4,6 +4,13 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+    constexpr const char* longHead = "the heads of the reply and of the interim replies before it are longer than the limit";
+    constexpr const char* longFraming = "the chunk headers or the trailer of the reply are longer than the limit";
+
+} // namespace
+
 ReplyParser::ReplyParser(Limits limits, bool hasBody)
     : m_limits(limits)
     , m_hasBody(hasBody)
@@ -36,16 +43,21 @@
         std::size_t overhead = consumed - (m_parser->get().body().size() - bodyBytes);
         parsed += consumed;
         (inHead ? m_headBytes : m_framingBytes) += overhead;
-        bool withinLimits = m_headBytes <= m_limits.headBytes && overhead <= m_limits.headBytes && m_framingBytes <= m_limits.bodyBytes;
-        if (!withinLimits || (error && error != http::error::need_more))
-            return Progress::Invalid;
+        if (const char* exceeded = exceededLimit(overhead))
+            return reject(exceeded);
+        if (error == http::error::header_limit)
+            return reject(longHead);
+        if (error == http::error::body_limit)
+            return reject("the body of the reply is longer than the limit, or states that it is");
+        if (error && error != http::error::need_more)
+            return reject("the reply must be valid HTTP");
         if (error || !consumed)
             break;
     }
     m_input.erase(0, parsed);
     // The library's limits don't cover the header of a chunk and a trailer, which it parses only as a whole.
     if (!m_parser->is_done())
-        return m_input.size() > m_limits.headBytes ? Progress::Invalid : Progress::Incomplete;
+        return m_input.size() > m_limits.headBytes ? reject(m_parser->is_header_done() ? longFraming : longHead) : Progress::Incomplete;
     return m_parser->get().result_int() < firstFinalStatus ? Progress::Interim : Progress::Complete;
 }
 
@@ -54,7 +66,20 @@
     boost::system::error_code error;
     if (m_parser->got_some())
         m_parser->put_eof(error);
-    return !error && m_parser->is_done() ? Progress::Complete : Progress::Invalid;
+    return !error && m_parser->is_done() ? Progress::Complete : reject("the connection ended before the reply was complete");
+}
+
+const char* ReplyParser::exceededLimit(std::size_t overhead) const
+{
+    if (m_headBytes > m_limits.headBytes)
+        return longHead;
+    return overhead > m_limits.headBytes || m_framingBytes > m_limits.bodyBytes ? longFraming : nullptr;
+}
+
+ReplyParser::Progress ReplyParser::reject(const char* cause)
+{
+    m_cause = cause;
+    return Progress::Invalid;
 }
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Net/ReplyParser.h
+++ b/Pimentopoint/src/Net/ReplyParser.h
@@ -34,6 +34,8 @@
     /// Ends the reply, since the connection was closed by the sender.
     Progress putEnd();
 
+    /// \returns why the reply is invalid, after Progress::Invalid
+    const char* cause() const { return m_cause; }
     /// \returns the final reply; complete after Progress::Complete
     const boost::beast::http::response<ReplyBody>& reply() const { return m_parser->get(); }
     std::string takeBody() { return std::move(m_parser->get().body()); }
@@ -46,6 +48,9 @@
     using Parser = boost::beast::http::response_parser<ReplyBody>;
 
     void beginReply();
+    Progress reject(const char* cause);
+    /// \returns why the bytes parsed so far exceed a limit; null if they don't
+    const char* exceededLimit(std::size_t overhead) const;
 
     Limits m_limits;
     bool m_hasBody;
@@ -53,6 +58,7 @@
     std::size_t m_headBytes = 0; ///< Bytes of heads that are parsed, those of interim replies included.
     std::size_t m_framingBytes = 0; ///< Bytes of chunk headers and trailers that are parsed.
     std::optional<Parser> m_parser;
+    const char* m_cause = "";
 };
 
 } // namespace pimentopoint
--- a/Pimentopoint/src/Net/TargetConnection.cpp
+++ b/Pimentopoint/src/Net/TargetConnection.cpp
@@ -218,7 +218,7 @@
             m_hooks.acknowledged(m_attempt->id);
     }
     if (progress == ReplyParser::Progress::Invalid)
-        fail(TargetReply::ReplyOutcome::Lost, "the reply must be valid HTTP within the size limits");
+        fail(TargetReply::ReplyOutcome::Lost, m_parser->cause());
     else if (progress == ReplyParser::Progress::Complete)
         handleReply(m_requestWritten && m_parser->reusable());
     else if (!m_charge.set(m_parser->heldBytes()))
@@ -239,7 +239,7 @@
     if (m_parser->putEnd() == ReplyParser::Progress::Complete)
         handleReply(false);
     else
-        fail(TargetReply::ReplyOutcome::Lost, "the connection ended before the reply was complete");
+        fail(TargetReply::ReplyOutcome::Lost, m_parser->cause());
 }
 
 Instant TargetConnection::keepAliveExpiry() const
--- a/test/HttpReaderTest.cpp
+++ b/test/HttpReaderTest.cpp
@@ -53,15 +53,19 @@
         const char* name;
         std::string start;
         std::string block;
+        std::string cause;
     };
+    const std::string body = "the body of the reply is longer than the limit, or states that it is";
+    const std::string framing = "the chunk headers or the trailer of the reply are longer than the limit";
+    const std::string heads = "the heads of the reply and of the interim replies before it are longer than the limit";
     const std::string head = "HTTP/1.1 200 OK\r\n";
     const std::string filler(std::size_t(64) * 1024, 'x');
     const Case cases[] = {
-        { "a stated length that can't be allocated", head + "Content-Length: 4999999999999999999\r\n\r\nhello", filler },
-        { "a stated length of 4 GB", head + "Content-Length: 4000000000\r\n\r\nhello", filler },
-        { "a chunk header", head + "Transfer-Encoding: chunked\r\n\r\n5;", filler },
-        { "a trailer", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Checksum: ", filler },
-        { "a header field", head + "X-Field: ", filler },
+        { "a stated length that can't be allocated", head + "Content-Length: 4999999999999999999\r\n\r\nhello", filler, body },
+        { "a stated length of 4 GB", head + "Content-Length: 4000000000\r\n\r\nhello", filler, body },
+        { "a chunk header", head + "Transfer-Encoding: chunked\r\n\r\n5;", filler, framing },
+        { "a trailer", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Checksum: ", filler, framing },
+        { "a header field", head + "X-Field: ", filler, heads },
     };
     for (const Case& each : cases) {
         INFO(each.name);
@@ -76,7 +80,7 @@
             CHECK_NOTHROW(context.run_for(std::chrono::milliseconds(2)));
         REQUIRE(result);
         CHECK(result->status == 0);
-        CHECK(result->cause == "the reply must be valid HTTP within the size limits");
+        CHECK(result->cause == each.cause);
         // The rest fits into the buffers of the sockets.
         CHECK(server.bytesLeft() > maxBytes / 2);
     }
