Let the memory budget outlive the connections that the event loop still holds

Cause, found by reading: handlers that are pending when a process ends keep their connections alive until the event loop is destroyed. The budget was declared after the loop and so destroyed first; the destructor of a charge that was not 0 then used freed memory. Only the end of a process is concerned, after its last answer.

Change: the budget is declared before the loop, in EdgeHost and in the tests' fixtures.

--- a/Pimentopoint/src/Net/HttpReader.cpp
+++ b/Pimentopoint/src/Net/HttpReader.cpp
@@ -8,6 +8,7 @@
 namespace pimentopoint {
 
 namespace asio = boost::asio;
+
 namespace {
 
     /// A connection is closed if sent bytes stay unacknowledged for this long.
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -101,6 +101,7 @@
 EdgeHost::EdgeHost(HostSettings settings, std::string settingsPath)
     : m_settings(std::move(settings))
     , m_settingsPath(std::move(settingsPath))
+    , m_replyMemory(replyMemoryBytes(m_settings))
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     , m_tickTimer(m_context)
     , m_callTimer(m_context)
@@ -109,7 +110,6 @@
     , m_aggregatorPool(selfRecord(m_settings),
           [](const MemberName& host, std::string_view event, std::string_view cause) { Log::event(Severity::Info, event, { { "aggregator", host }, { "cause", cause } }); })
     , m_engine(m_targetPool, m_aggregatorPool, m_metrics, limitsFrom(m_settings), [this](const CallRecord& call) { recordCall(call); })
-    , m_replyMemory(replyMemoryBytes(m_settings))
     , m_targetConnections(
           m_context, m_clock, platform::headerNames(), m_metrics, m_replyMemory,
           [this](AttemptNumber attempt, TargetReply reply) {
--- a/daemons/EdgeHost.h
+++ b/daemons/EdgeHost.h
@@ -59,6 +59,7 @@
     std::string m_settingsText;
     BootClock m_clock;
     Metrics m_metrics;
+    MemoryBudget m_replyMemory; ///< Limits the replies in progress and the answers that callers have not accepted. Outlives the connections that handlers in the event loop hold.
     boost::asio::io_context m_context { 1 };
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
@@ -67,7 +68,6 @@
     TargetPool m_targetPool;
     AggregatorPool m_aggregatorPool;
     CallEngine m_engine;
-    MemoryBudget m_replyMemory; ///< Limits the replies in progress and the answers that callers have not accepted.
     TargetConnectionPool m_targetConnections;
     std::uint64_t m_lastCall = 0;
     CallerServer m_callerServer;
--- a/test/EdgeTest.cpp
+++ b/test/EdgeTest.cpp
@@ -20,10 +20,10 @@
 
 /// Event loop for connections, targets and a store, run by the test itself.
 struct Loop {
+    MemoryBudget memory { std::size_t(64) * 1024 * 1024 };
     boost::asio::io_context context { 1 };
     BootClock clock;
     Metrics metrics;
-    MemoryBudget memory { std::size_t(64) * 1024 * 1024 };
 
     /// Runs until \a condition holds or 20 s have passed; \returns whether it holds
     bool until(const std::function<bool()>& condition)
--- a/test/HandlerGuardTest.cpp
+++ b/test/HandlerGuardTest.cpp
@@ -14,10 +14,10 @@
 
 /// An event loop that no exception may leave, and a target that replies to each request.
 struct GuardedLoop {
+    MemoryBudget memory { std::size_t(64) * 1024 * 1024 };
     boost::asio::io_context context { 1 };
     BootClock clock;
     Metrics metrics;
-    MemoryBudget memory { std::size_t(64) * 1024 * 1024 };
     Endpoint endpoint = test::freeEndpoint();
 
     bool until(const std::function<bool()>& condition)
--- a/test/HostConnectionTest.cpp
+++ b/test/HostConnectionTest.cpp
@@ -13,10 +13,10 @@
 
 /// A delegating host and an aggregator on one event loop.
 struct TwoHosts {
+    MemoryBudget memory { std::size_t(64) * 1024 * 1024 };
     boost::asio::io_context context { 1 };
     BootClock clock;
     Metrics metrics;
-    MemoryBudget memory { std::size_t(64) * 1024 * 1024 };
     Endpoint endpoint = test::freeEndpoint();
     std::shared_ptr<const CallerRequest> receivedRequest;
     std::optional<CallId> call;
