Log when the store returns from an older copy and when a listing is not used

Cause of the gap: the store's header with its era is not read, and a listing that is older than the known revision is treated as a failed read without a line. Change: `store-returned` (era and revision before and after) and `news-listing-outdated` (revision known and listed), with a counter each. The era is read in platform/; nothing is decided by it.

--- a/Pimentopoint/src/Core/Ids.h
+++ b/Pimentopoint/src/Core/Ids.h
@@ -25,6 +25,8 @@
 PP_STRONG_TYPE(CallId, std::uint64_t);
 /// Identifies a read of updates within one process.
 PP_STRONG_TYPE(ReadNumber, std::uint64_t);
+/// Counts the times at which the platform's store returned from an older copy; revisions of different eras can't be compared.
+PP_STRONG_TYPE(StoreEra, std::uint64_t);
 /// Name of a data centre.
 PP_STRONG_TYPE(DataCentreName, std::string);
 /// Name of one process of the system, unique among the running processes.
--- a/Pimentopoint/src/Net/UpdateFeed.cpp
+++ b/Pimentopoint/src/Net/UpdateFeed.cpp
@@ -68,6 +68,17 @@
         Log::event(lost ? Severity::Warning : Severity::Info, lost ? "news-source-lost" : "news-source-regained",
             { { "source", sourceText(actions.sourceChange->source) }, { "cause", actions.sourceChange->cause }, { "revision", m_relay.revision() } });
     }
+    if (actions.eraChange) {
+        const UpdateActions::EraChange& change = *actions.eraChange;
+        m_metrics.add("pimentopoint_store_returns_total", "");
+        Log::event(Severity::Warning, "store-returned",
+            { { "source", sourceText(change.source) }, { "previousEra", change.previousEra }, { "era", change.era }, { "knownRevision", change.knownRevision }, { "revision", change.revision } });
+    }
+    if (actions.outdatedListing) {
+        m_metrics.add("pimentopoint_news_outdated_listings_total", "");
+        Log::event(Severity::Info, "news-listing-outdated",
+            { { "source", sourceText(actions.outdatedListing->source) }, { "knownRevision", actions.outdatedListing->knownRevision }, { "revision", actions.outdatedListing->revision } });
+    }
     if (actions.updated) {
         m_previousAge = actions.previousAge;
         m_hooks.updates(actions.items);
@@ -128,7 +139,7 @@
     if (!response.status)
         result.cause = response.cause;
     else
-        result = read.source.host ? decodeUpdates(response.status, response.body) : m_hooks.storeResult(read.read, response.status, response.body);
+        result = read.source.host ? decodeUpdates(response.status, response.body) : m_hooks.storeResult(read.read, response);
     if (result.unreadableItems) {
         m_metrics.add("pimentopoint_news_unreadable_items_total", "", result.unreadableItems);
         Log::event(Severity::Warning, "news-items-unreadable", { { "source", sourceText(read.source) }, { "count", std::uint64_t(result.unreadableItems) }, { "cause", result.cause } });
--- a/Pimentopoint/src/Net/UpdateFeed.h
+++ b/Pimentopoint/src/Net/UpdateFeed.h
@@ -16,7 +16,7 @@
 public:
     struct Hooks {
         std::function<std::string(const StoreRead&)> storePath; ///< \returns the path of a read at the platform's store
-        std::function<StoreResult(const StoreRead&, unsigned status, const std::string& body)> storeResult;
+        std::function<StoreResult(const StoreRead&, const HttpReader::Result&)> storeResult; ///< \returns the result in the store's reply to a read
         std::function<void(const std::vector<StoreItem>&)> updates; ///< Called with the updated items, removals included; they may be empty at the end of a full read.
         std::function<std::optional<CallerAnswer>(const std::string& path)> otherRequest; ///< Answers other hosts' requests that are not reads of updates; nothing: the path is unknown.
     };
--- a/Pimentopoint/src/Serve/StoreFollower.h
+++ b/Pimentopoint/src/Serve/StoreFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../Core/Clock.h"
+#include "../Core/Ids.h"
 #include "../Core/Random.h"
 
 #include <cstdint>
@@ -45,6 +46,7 @@
     Kind kind = Kind::Failed;
     std::vector<StoreItem> items;
     bool hasMore = false; ///< Whether further pages follow.
+    StoreEra era; ///< Era to which the revisions belong; 0 if the source states none.
     std::uint64_t revision = 0; ///< Revision of the store that the result reflects.
     std::size_t unreadableItems = 0; ///< Number of items that were left out because they could not be read.
     std::string cause; ///< Cause of a failure, or why the first of these items could not be read.
--- a/Pimentopoint/src/Serve/UpdateRelay.cpp
+++ b/Pimentopoint/src/Serve/UpdateRelay.cpp
@@ -212,6 +212,17 @@
     return {};
 }
 
+void UpdateRelay::observe(const OutstandingRead& read, const StoreResult& result, UpdateActions& actions)
+{
+    if (result.kind == StoreResult::Kind::Items && result.revision < m_follower.revision())
+        actions.outdatedListing = { read.source, m_follower.revision(), result.revision };
+    if (read.source.host)
+        return;
+    if (m_storeEra && *m_storeEra < result.era)
+        actions.eraChange = { read.source, *m_storeEra, result.era, m_follower.revision(), result.revision };
+    m_storeEra = result.era;
+}
+
 void UpdateRelay::handleResult(ReadNumber number, StoreResult result, std::optional<ReplyAge> replyAge, Instant now, UpdateActions& actions)
 {
     auto found = m_reads.find(number);
@@ -229,6 +240,7 @@
         }
     } else {
         actions.previousAge = age(now);
+        observe(read, result, actions);
         recordSuccess(read, result, replyAge, now, actions);
         StoreUpdate update = applyToFollower(number, read, std::move(result), now);
         std::vector<StoreItem> items = m_mirror.apply(update, m_follower.revision(), now);
--- a/Pimentopoint/src/Serve/UpdateRelay.h
+++ b/Pimentopoint/src/Serve/UpdateRelay.h
@@ -41,8 +41,24 @@
         Duration elapsed { 0 }; ///< Time since the read started.
         std::optional<Duration> age; ///< Age of what this host knows; nothing if the store has not confirmed anything yet.
     };
+    /// The store returned from an older copy.
+    struct EraChange {
+        UpdateSource::Choice source;
+        StoreEra previousEra;
+        StoreEra era;
+        std::uint64_t knownRevision = 0; ///< Revision in the previous era that this host knew.
+        std::uint64_t revision = 0; ///< Revision in the reply that states the new era.
+    };
+    /// A listing that is not used because this host knows a later revision.
+    struct OutdatedListing {
+        UpdateSource::Choice source;
+        std::uint64_t knownRevision = 0;
+        std::uint64_t revision = 0;
+    };
     std::vector<Read> reads;
     std::vector<FailedRead> failedReads;
+    std::optional<EraChange> eraChange;
+    std::optional<OutdatedListing> outdatedListing;
     std::vector<Reply> replies;
     std::vector<StoreItem> items; ///< Items that changed, removals included.
     std::optional<Duration> previousAge; ///< Age of what this host knew before the items; nothing if it knew nothing.
@@ -106,6 +122,8 @@
     void recordSuccess(const OutstandingRead& read, const StoreResult& result, std::optional<ReplyAge> replyAge, Instant now, UpdateActions& actions);
     void recordConfirmation(const OutstandingRead& read, std::optional<ReplyAge> replyAge, Instant now);
     StoreUpdate applyToFollower(ReadNumber number, const OutstandingRead& read, StoreResult result, Instant now);
+    /// Reports a new era of the store, and a listing that is older than what is known.
+    void observe(const OutstandingRead& read, const StoreResult& result, UpdateActions& actions);
     bool isReadingStore() const;
     /// \returns whether a read of the store failed some time ago and no source has replied since
     bool hasLostStore(Instant now) const;
@@ -122,6 +140,7 @@
     std::map<ReadNumber, OutstandingRead> m_reads; ///< Reads without a result, late ones included.
     std::optional<ReadNumber> m_currentRead; ///< Read for whose result the follower waits.
     ReadNumber m_latestNumber { 0 };
+    std::optional<StoreEra> m_storeEra; ///< Era that the store's latest reply stated.
     std::optional<Endpoint> m_provenSource; ///< Source of the latest successful read; the empty endpoint is the store.
     unsigned m_failures = 0; ///< Number of failed reads since the latest success.
     Instant m_nextAttemptAt {}; ///< Time before which no read is started after a failure.
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -91,6 +91,11 @@
         return static_cast<std::size_t>(static_cast<double>(settings.memoryMegabytes) * bytesPerMegabyte * replyMemoryFraction);
     }
 
+    StoreResult parseStoreReply(const StoreRead& read, const HttpReader::Result& reply)
+    {
+        return platform::parseStoreResult(read, reply.status, headerValue(reply.headers, platform::storeEraHeader), reply.body);
+    }
+
     std::uint64_t makeSeed(const HostSettings& settings, std::string_view purpose)
     {
         return hashOf(settings.name.value() + "/" + std::string(purpose)) ^ newIncarnation().value();
@@ -125,7 +130,7 @@
     , m_memberSocket(m_context, m_clock, m_settings.memberEndpoint, m_membership, { [this] { m_hostsChanged = true; }, [this](const MemberRecord& member) { m_memberLists.request(member); } })
     , m_hostCount(m_clock.now())
     , m_updateFeed(m_context, m_clock, m_metrics, m_membership.self(), { m_settings.platformEndpoint, m_settings.memberEndpoint, m_settings.maxUpdateDelay, makeSeed(m_settings, "news") },
-          { platform::storePath, platform::parseStoreResult, [this](const std::vector<StoreItem>& items) { applyUpdates(items); }, [this](const std::string& path) { return m_memberLists.answer(path); } })
+          { platform::storePath, parseStoreReply, [this](const std::vector<StoreItem>& items) { applyUpdates(items); }, [this](const std::string& path) { return m_memberLists.answer(path); } })
 {
     m_targetConnections.onAcknowledged([this](AttemptNumber attempt) {
         m_engine.handleAcknowledgement(attempt, m_clock.now());
--- a/fuzz/ForeignReader.cpp
+++ b/fuzz/ForeignReader.cpp
@@ -101,8 +101,8 @@
         StoreRead page;
         StoreRead watch;
         watch.kind = StoreRead::Kind::Watch;
-        decodeItems(platform::parseStoreResult(page, statusOk, input));
-        decodeItems(platform::parseStoreResult(watch, statusOk, input));
+        decodeItems(platform::parseStoreResult(page, statusOk, "1", input));
+        decodeItems(platform::parseStoreResult(watch, statusOk, "", input));
     }
 
     /// Reads an item whose key is the first line of \a input and whose value is the rest.
--- a/test/PlatformTest.cpp
+++ b/test/PlatformTest.cpp
@@ -107,7 +107,7 @@
     for (const char* odd : { "{\"key\":7,\"value\":\"\",\"revision\":4}", "{\"key\":\"servers/odd\",\"revision\":4}", "{\"key\":\"servers/odd\",\"value\":\"dg==\",\"revision\":-4}", "17" }) {
         INFO(odd);
         std::string body = "{\"items\":[" + std::string(odd) + ",{\"key\":\"servers/good\",\"value\":\"dg==\",\"revision\":5}],\"has_more\":false,\"as_of\":9}";
-        StoreResult result = platform::parseStoreResult(StoreRead(), 200, body);
+        StoreResult result = platform::parseStoreResult(StoreRead(), 200, "", body);
         REQUIRE(result.kind == StoreResult::Kind::Items);
         REQUIRE(result.items.size() == 1);
         CHECK(result.items[0].key == "servers/good");
@@ -138,23 +138,23 @@
     page.afterKey = "servers/i 1";
     CHECK(platform::storePath(page) == "/api/kv-range?prefix=&after=servers/i%201");
     nlohmann::json valid = { { "items", { { { "key", "k" }, { "value", "dmFsdWU=" }, { "revision", 3 }, { "created", 3 }, { "lease", 0 } } } }, { "has_more", true }, { "as_of", 9 } };
-    StoreResult result = platform::parseStoreResult(page, 200, valid.dump());
+    StoreResult result = platform::parseStoreResult(page, 200, "", valid.dump());
     CHECK(result.kind == StoreResult::Kind::Items);
     CHECK(result.items.at(0).value == "value");
     CHECK(result.hasMore);
     CHECK(result.revision == 9);
-    CHECK(platform::parseStoreResult(watch, 410, "").kind == StoreResult::Kind::HistoryLost);
+    CHECK(platform::parseStoreResult(watch, 410, "", "").kind == StoreResult::Kind::HistoryLost);
     nlohmann::json events = { { "events", { { { "key", "k" }, { "revision", 4 }, { "removed", true } } } }, { "as_of", 10 } };
-    result = platform::parseStoreResult(watch, 200, events.dump());
+    result = platform::parseStoreResult(watch, 200, "", events.dump());
     CHECK(result.kind == StoreResult::Kind::Changes);
     CHECK(result.items.at(0).removed);
     for (unsigned status : { 429U, 503U, 404U, 500U }) {
-        result = platform::parseStoreResult(watch, status, "");
+        result = platform::parseStoreResult(watch, status, "", "");
         CHECK(result.kind == StoreResult::Kind::Failed);
         CHECK_FALSE(result.cause.empty());
     }
     for (const char* body : { "", "{", "{}", "{\"items\":[{}],\"has_more\":false,\"as_of\":-1}", "{\"items\":[{}],\"has_more\":false}", "{\"items\":1}" })
-        CHECK(platform::parseStoreResult(StoreRead(), 200, body).kind == StoreResult::Kind::Failed);
+        CHECK(platform::parseStoreResult(StoreRead(), 200, "", body).kind == StoreResult::Kind::Failed);
 }
 
 TEST_CASE("Names of the platform's protocol occur only in the platform folder")
