Follow the eras of the store, so that what it holds after a return is known in time

Cause: revisions were compared across the return, where they are given out again. If more is written after the return than was lost, a watch goes on from the old revision and what was written below it is never read. Change: a position in the store is an era and a revision. A follower that learns of a later era lists again, its pages count only together, and what is of an earlier era fails as a read; a mirror takes a listing of another era as a whole; hosts state the era in their reads and replies (a host of an earlier version states none: it still gets changes, and nothing is taken from it). Where the listing differs from what was known, what was known is kept for 2.5 s, since the writers have not written again; configurations are ordered by their versions and pass at once. Writes of the new era apply at once. A 410 by the store within an era also gives up the known revision, which the store may not have. The simulated store has items and returns now; the bounds of the older tests stand.

--- a/Pimentopoint/src/Net/HostHeaders.h
+++ b/Pimentopoint/src/Net/HostHeaders.h
@@ -19,5 +19,7 @@
 inline constexpr std::string_view age = "Pimentopoint-Age";
 /// In the reply to a read of updates: the time for which the read was held before the reply.
 inline constexpr std::string_view held = "Pimentopoint-Held";
+/// In a read of updates and in its reply: the era of the store to which the revisions belong.
+inline constexpr std::string_view storeEra = "Pimentopoint-Store-Era";
 
 } // namespace pimentopoint::host_headers
--- a/Pimentopoint/src/Net/UpdateFeed.cpp
+++ b/Pimentopoint/src/Net/UpdateFeed.cpp
@@ -33,6 +33,16 @@
         return age ? std::optional(ReplyAge { *age, durationHeader(response, host_headers::held).value_or(Duration(0)) }) : std::nullopt;
     }
 
+    /// \returns the result in another host's reply; one without an era, from a host of an earlier version, has the earliest
+    StoreResult hostResult(const HttpReader::Result& response)
+    {
+        StoreResult result = decodeUpdates(response.status, response.body);
+        result.era = StoreEra(parseNumber(headerValue(response.headers, host_headers::storeEra)).value_or(0));
+        return result;
+    }
+
+    std::string headerLine(std::string_view name, const std::string& value) { return std::string(name) + ": " + value + "\r\n"; }
+
 } // namespace
 
 UpdateFeed::UpdateFeed(boost::asio::io_context& context, const Clock& clock, Metrics& metrics, const MemberRecord& self, Options options, Hooks hooks)
@@ -125,6 +135,8 @@
     const UpdateSource::Choice& source = each.source;
     m_metrics.add("pimentopoint_news_reads_total", source.host ? "source=\"host\"" : "source=\"store\"");
     auto& reader = m_activeReaders[each.number] = takeReader(source);
+    if (source.host)
+        reader->setHeaders(each.read.era ? headerLine(host_headers::storeEra, std::to_string(each.read.era->value())) : "", "");
     reader->get(source.host ? updatePath(each.read) : m_hooks.storePath(each.read), each.read.timeout, [this, read = each](const HttpReader::Result& response) {
         auto active = m_activeReaders.extract(read.number);
         if (response.status)
@@ -139,7 +151,7 @@
     if (!response.status)
         result.cause = response.cause;
     else
-        result = read.source.host ? decodeUpdates(response.status, response.body) : m_hooks.storeResult(read.read, response);
+        result = read.source.host ? hostResult(response) : m_hooks.storeResult(read.read, response);
     if (result.unreadableItems) {
         m_metrics.add("pimentopoint_news_unreadable_items_total", "", result.unreadableItems);
         Log::event(Severity::Warning, "news-items-unreadable", { { "source", sourceText(read.source) }, { "count", std::uint64_t(result.unreadableItems) }, { "cause", result.cause } });
@@ -161,6 +173,11 @@
         m_server.answer(call, *answer);
         return;
     }
+    for (const auto& [name, value] : request.headers) {
+        auto era = equalsIgnoringCase(name, host_headers::storeEra) ? parseNumber(value) : std::nullopt;
+        if (era)
+            read->era = StoreEra(*era);
+    }
     UpdateActions actions;
     m_relay.handleRead(call, *read, m_clock.now(), actions);
     perform(std::move(actions));
@@ -177,6 +194,7 @@
         answer.status = statusOk;
         answer.body = encodeUpdates(reply.result);
         answer.headers.emplace_back(host_headers::age, std::to_string(reply.age.age.count()));
+        answer.headers.emplace_back(host_headers::storeEra, std::to_string(reply.result.era.value()));
         answer.headers.emplace_back(host_headers::held, std::to_string(reply.age.held.count()));
     }
     m_server.answer(reply.reader, answer);
--- a/Pimentopoint/src/Serve/StoreFollower.h
+++ b/Pimentopoint/src/Serve/StoreFollower.h
@@ -12,12 +12,20 @@
 
 namespace pimentopoint {
 
+/// Point in the history of the platform's store. Revisions are comparable within an era only.
+struct StorePosition {
+    StoreEra era;
+    std::uint64_t revision = 0;
+    auto operator<=>(const StorePosition&) const = default;
+};
+
 /// A key of the platform's store with its value, or its removal, as of a revision.
 struct StoreItem {
     std::string key;
     std::string value;
     std::uint64_t revision = 0;
     bool removed = false;
+    bool mayBeOlder = false; ///< Whether it may be older than what was known: it comes from the listing of a store that has returned from a copy.
 };
 
 /// A request to the platform's store or to a host that mirrors it.
@@ -30,6 +38,7 @@
     std::string prefix;
     std::string afterKey;
     std::uint64_t afterRevision = 0;
+    std::optional<StoreEra> era; ///< Era of \c afterRevision; nothing if the reader, a host of an earlier version, states none.
     bool mayBeStale = false; ///< Whether a page may be older than the store's latest revision; such reads cost the store less.
     Duration wait { 0 }; ///< Longest time for which the store may hold a watch open.
     Duration timeout { 0 }; ///< Time after which the read fails.
@@ -68,9 +77,10 @@
 /// \class StoreFollower
 /// \ingroup Serve
 /// \brief Follows a prefix of the platform's store: lists it in pages, then watches it, and lists it again if the source
-/// no longer has all changes since the known revision.
+/// no longer has all changes since the known revision, or if the store has returned from an older copy.
 /// \details The first listing may be stale: the watch that follows it brings all later changes at once. If the source lacks them, or
-/// has pages of different ages, the next listing must be current.
+/// has pages of different ages, the next listing must be current. Results of an era before the latest known one are not used; a listing
+/// of a later era is reported when it has ended.
 class StoreFollower {
 public:
     StoreFollower(std::string prefix, StoreTiming timing, std::uint64_t seed);
@@ -86,19 +96,28 @@
     bool listing() const { return m_listing; }
     /// Starts a new listing, which must be current, because changes since the known revision are lost.
     void handleHistoryLost();
+    /// \brief Handles that a result besides the outstanding read shows \a era: starts a new listing if it is later than the latest known one.
+    /// \returns whether it is later
+    bool handleLaterEra(StoreEra era);
+    /// Records that the store itself no longer knows the known revision, so that the next listing may be of an earlier one.
+    void forgetRevision() { m_leastRevision = 0; }
+    /// \returns the latest era that any result stated
+    StoreEra latestEra() const { return m_latestEra; }
     /// \returns when the next read is due; nothing while one is outstanding
     std::optional<Instant> nextReadAt() const;
 
     /// \returns whether a full listing has ended at least once
     bool complete() const { return m_complete; }
-    std::uint64_t revision() const { return m_revision; }
+    const StorePosition& position() const { return m_position; }
 
 private:
     void restartListing();
     StoreUpdate applyPage(StoreResult& result);
     StoreUpdate applyChanges(StoreResult& result);
-    /// \returns whether \a result is a listing older than the known revision or than the first page of the current listing
+    /// \returns whether \a result is of an earlier era, or a listing older than the known revision or than the first page of the current listing
     bool isOutdated(const StoreResult& result) const;
+    /// \returns whether \a result shows a later era without being the first page of a listing
+    bool requiresListing(const StoreResult& result) const;
 
     std::string m_prefix;
     StoreTiming m_timing;
@@ -108,9 +127,12 @@
     bool m_listing = true; ///< Whether a listing is in progress; otherwise the store is watched.
     bool m_complete = false;
     std::string m_afterKey;
-    std::uint64_t m_listingRevision = 0; ///< Revision of the first page; the watch delivers later changes.
+    StorePosition m_listingPosition; ///< Position of the first page; the watch delivers later changes.
     std::set<std::string> m_listedKeys;
-    std::uint64_t m_revision = 0;
+    std::vector<StoreItem> m_listedItems; ///< Items of the current listing, if it is of a later era than \c m_position.
+    StorePosition m_position;
+    std::uint64_t m_leastRevision = 0; ///< Listings of the known era that are older are outdated.
+    StoreEra m_latestEra;
     bool m_mayBeStale = true; ///< Whether the next listing may be stale.
     unsigned m_failures = 0;
 };
--- a/Pimentopoint/src/Serve/UpdateRelay.cpp
+++ b/Pimentopoint/src/Serve/UpdateRelay.cpp
@@ -38,6 +38,7 @@
     giveUpLateReads(now, actions);
     startRead(now, actions);
     startDirectRead(now, actions);
+    collect(m_mirror.endRetention(now), actions);
     replyToWaiting(now, actions);
     if (now >= m_nextCleanup) {
         m_nextCleanup = now + cleanupInterval;
@@ -52,12 +53,19 @@
             read.failed = true;
     }
     if (m_currentRead && m_reads.at(*m_currentRead).failed) {
-        m_currentRead.reset();
-        m_follower.abandonRead();
+        abandonCurrentRead();
         m_provenSource.reset();
     }
 }
 
+void UpdateRelay::abandonCurrentRead()
+{
+    if (m_currentRead)
+        m_reads.at(*m_currentRead).failed = true;
+    m_currentRead.reset();
+    m_follower.abandonRead();
+}
+
 void UpdateRelay::giveUpLateReads(Instant now, UpdateActions& actions)
 {
     for (auto& [number, read] : m_reads) {
@@ -66,8 +74,7 @@
         read.failed = true;
         recordFailure(read, "no reply in time", now, actions);
         if (m_currentRead == number) {
-            m_currentRead.reset();
-            m_follower.abandonRead();
+            abandonCurrentRead();
             m_nextAttemptAt = now;
         }
     }
@@ -131,7 +138,8 @@
         return;
     StoreRead read;
     read.kind = StoreRead::Kind::Watch;
-    read.afterRevision = m_follower.revision();
+    read.afterRevision = m_follower.position().revision;
+    read.era = m_follower.position().era;
     start({}, read, m_timing.lateness(true, false), now, actions);
 }
 
@@ -174,7 +182,9 @@
         m_sourceLostAt.reset();
     }
     bool stale = !read.source.host && read.read.mayBeStale;
-    if (result.kind != StoreResult::Kind::HistoryLost && !stale)
+    // Changes of a later era are not used, and the pages of a listing only together.
+    bool used = result.kind == StoreResult::Kind::Changes ? result.era == m_follower.position().era : result.kind == StoreResult::Kind::Items && !result.hasMore;
+    if (used && !stale)
         recordConfirmation(read, replyAge, now);
 }
 
@@ -185,6 +195,10 @@
         m_provenSource = endpointOf(read.source);
         return m_follower.handleResult(std::move(result), now);
     }
+    if (m_follower.handleLaterEra(result.era)) {
+        abandonCurrentRead();
+        return {};
+    }
     switch (result.kind) {
     case StoreResult::Kind::Changes:
         return m_follower.listing() ? StoreUpdate() : m_follower.handleAdditionalChanges(std::move(result));
@@ -200,10 +214,7 @@
     case StoreResult::Kind::HistoryLost:
         if (!read.source.host && !m_follower.listing()) {
             m_follower.handleHistoryLost();
-            if (m_currentRead)
-                m_reads.at(*m_currentRead).failed = true;
-            m_currentRead.reset();
-            m_follower.abandonRead();
+            abandonCurrentRead();
         }
         return {};
     case StoreResult::Kind::Failed:
@@ -212,15 +223,19 @@
     return {};
 }
 
-void UpdateRelay::observe(const OutstandingRead& read, const StoreResult& result, UpdateActions& actions)
+void UpdateRelay::observe(const OutstandingRead& read, const StoreResult& result, UpdateActions& actions) const
 {
-    if (result.kind == StoreResult::Kind::Items && result.revision < m_follower.revision())
-        actions.outdatedListing = { read.source, m_follower.revision(), result.revision };
-    if (read.source.host)
-        return;
-    if (m_storeEra && *m_storeEra < result.era)
-        actions.eraChange = { read.source, *m_storeEra, result.era, m_follower.revision(), result.revision };
-    m_storeEra = result.era;
+    const StorePosition& known = m_follower.position();
+    if (m_follower.complete() && result.era > m_follower.latestEra())
+        actions.eraChange = { read.source, known.era, result.era, known.revision, result.revision };
+    else if (result.kind == StoreResult::Kind::Items && result.era == known.era && result.revision < known.revision)
+        actions.outdatedListing = { read.source, known.revision, result.revision };
+}
+
+void UpdateRelay::collect(std::vector<StoreItem> items, UpdateActions& actions) const
+{
+    actions.updated = actions.updated || !items.empty();
+    actions.items.insert(actions.items.end(), std::make_move_iterator(items.begin()), std::make_move_iterator(items.end()));
 }
 
 void UpdateRelay::handleResult(ReadNumber number, StoreResult result, std::optional<ReplyAge> replyAge, Instant now, UpdateActions& actions)
@@ -230,6 +245,10 @@
         return;
     OutstandingRead read = found->second;
     m_reads.erase(found);
+    if (result.kind != StoreResult::Kind::Failed && result.era < m_follower.latestEra()) {
+        result = StoreResult();
+        result.cause = "the reply is of an earlier era of the store";
+    }
     if (result.kind == StoreResult::Kind::Failed) {
         if (!read.failed)
             recordFailure(read, result.cause, now, actions);
@@ -242,10 +261,12 @@
         actions.previousAge = age(now);
         observe(read, result, actions);
         recordSuccess(read, result, replyAge, now, actions);
+        bool revisionUnknown = result.kind == StoreResult::Kind::HistoryLost && !read.source.host;
         StoreUpdate update = applyToFollower(number, read, std::move(result), now);
-        std::vector<StoreItem> items = m_mirror.apply(update, m_follower.revision(), now);
-        actions.updated = actions.updated || !items.empty() || update.allKeys;
-        actions.items.insert(actions.items.end(), std::make_move_iterator(items.begin()), std::make_move_iterator(items.end()));
+        if (revisionUnknown)
+            m_follower.forgetRevision();
+        actions.updated = actions.updated || update.allKeys;
+        collect(m_mirror.apply(update, m_follower.position(), now), actions);
     }
     replyToWaiting(now, actions);
     startRead(now, actions);
@@ -266,7 +287,9 @@
     WaitingRead waiting { read, now, m_confirmedAt };
     // A full read gets a reply even if the known state may be outdated: the reader has no state at all and can't reach the store.
     bool relayable = read.kind == StoreRead::Kind::Page || isFresh(now);
-    if (!m_mirror.complete() || (!relayable && hasLostStore(now)))
+    // What a reader of a later era knows is newer.
+    bool earlier = read.era && *read.era > m_mirror.position().era;
+    if (!m_mirror.complete() || earlier || (!relayable && hasLostStore(now)))
         refuse(reader, actions);
     else if (relayable && (m_mirror.hasUpdates(read) || read.wait <= Duration(0)))
         reply(reader, waiting, now, actions);
--- a/Pimentopoint/src/Serve/UpdateRelay.h
+++ b/Pimentopoint/src/Serve/UpdateRelay.h
@@ -74,7 +74,9 @@
 /// it, summed over the hosts that relayed it. A read that is late is no longer waited for, though its reply is still used, and the
 /// next source is tried. Whatever the state of that search, a host whose knowledge reaches UpdateTiming::directReadAge reads the store
 /// itself, so the time until a change is known does not depend on the number of unresponsive hosts. A host that relays refuses reads once
-/// its knowledge is too old or the store failed to reply to it. Receives events with the time and returns actions.
+/// its knowledge is too old or the store failed to reply to it. A store that returns from an older copy begins an era, which its replies and
+/// those of the hosts state: a host that learns of a later era reads everything again, and refuses what is of an earlier one.
+/// Receives events with the time and returns actions.
 class UpdateRelay {
 public:
     /// \param maxUpdateDelay time within which updates must be known on every host
@@ -92,7 +94,7 @@
 
     /// \returns whether all items have been read once
     bool complete() const { return m_follower.complete(); }
-    std::uint64_t revision() const { return m_follower.revision(); }
+    std::uint64_t revision() const { return m_follower.position().revision; }
     /// \returns the time since the store confirmed what this host knows; nothing if it has not confirmed anything yet
     std::optional<Duration> age(Instant now) const { return m_confirmedAt ? std::optional(now - *m_confirmedAt) : std::nullopt; }
     /// \returns whether updates that this host relays are recent enough
@@ -121,9 +123,12 @@
     void recordFailure(const OutstandingRead& read, const std::string& cause, Instant now, UpdateActions& actions);
     void recordSuccess(const OutstandingRead& read, const StoreResult& result, std::optional<ReplyAge> replyAge, Instant now, UpdateActions& actions);
     void recordConfirmation(const OutstandingRead& read, std::optional<ReplyAge> replyAge, Instant now);
+    /// Ends the wait for the current read, whose result would no longer be of use.
+    void abandonCurrentRead();
+    void collect(std::vector<StoreItem> items, UpdateActions& actions) const;
     StoreUpdate applyToFollower(ReadNumber number, const OutstandingRead& read, StoreResult result, Instant now);
     /// Reports a new era of the store, and a listing that is older than what is known.
-    void observe(const OutstandingRead& read, const StoreResult& result, UpdateActions& actions);
+    void observe(const OutstandingRead& read, const StoreResult& result, UpdateActions& actions) const;
     bool isReadingStore() const;
     /// \returns whether a read of the store failed some time ago and no source has replied since
     bool hasLostStore(Instant now) const;
@@ -140,7 +145,6 @@
     std::map<ReadNumber, OutstandingRead> m_reads; ///< Reads without a result, late ones included.
     std::optional<ReadNumber> m_currentRead; ///< Read for whose result the follower waits.
     ReadNumber m_latestNumber { 0 };
-    std::optional<StoreEra> m_storeEra; ///< Era that the store's latest reply stated.
     std::optional<Endpoint> m_provenSource; ///< Source of the latest successful read; the empty endpoint is the store.
     unsigned m_failures = 0; ///< Number of failed reads since the latest success.
     Instant m_nextAttemptAt {}; ///< Time before which no read is started after a failure.
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -363,6 +363,9 @@
         Instant now = m_clock.now();
         if (auto* routing = std::get_if<RoutingTable::Contents>(&change)) {
             applyRouting(std::move(*routing));
+        } else if (item.mayBeOlder) {
+            // Configurations are ordered by their versions; anything else follows once the store's content is certain.
+            return;
         } else if (auto* target = std::get_if<DiscoveredTarget>(&change)) {
             m_targetPool.put(*target, now);
         } else if (auto* removed = std::get_if<platform::TargetRemoved>(&change)) {
@@ -378,7 +381,8 @@
     } catch (const std::exception& malformed) {
         m_metrics.add("pimentopoint_entries_refused_total", "");
         Log::event(Severity::Warning, "entry-refused", { { "key", item.key }, { "cause", malformed.what() }, { "revision", item.revision } });
-        if (auto name = platform::parseTargetKey(item.key))
+        auto name = platform::parseTargetKey(item.key);
+        if (name && !item.mayBeOlder)
             m_targetPool.remove(*name, m_clock.now());
     }
 }
--- a/test/UpdateDeadlineTest.cpp
+++ b/test/UpdateDeadlineTest.cpp
@@ -46,7 +46,7 @@
     std::deque<std::pair<Instant, std::uint64_t>> published;
     for (Instant end = fleet.now() + duration; fleet.now() < end;) {
         fleet.publish();
-        published.emplace_back(fleet.now(), fleet.storeRevision());
+        published.emplace_back(fleet.now(), fleet.publishedVersion());
         fleet.run(interval);
         while (!published.empty() && fleet.now() - published.front().first >= UpdateFleet::maxUpdateDelay) {
             auto uninformed = fleet.uninformedHosts(published.front().second);
--- a/test/UpdateFleet.h
+++ b/test/UpdateFleet.h
@@ -17,7 +17,7 @@
 namespace pimentopoint {
 
 /// \class UpdateFleet
-/// \brief A store whose revision rises, and hosts that read it directly or through each other.
+/// \brief A store with a published version among its items, which may return from an older copy, and hosts that read it directly or through each other.
 class UpdateFleet {
 public:
     static constexpr Duration maxUpdateDelay = std::chrono::seconds(6);
@@ -56,23 +56,47 @@
             }
         }
     }
-    /// Changes an item of the store.
-    void publish() { ++m_storeRevision; }
-    /// \returns the hosts that run and don't know the change that was the latest one at revision \a revision
-    std::vector<std::size_t> uninformedHosts(std::uint64_t revision) const
+    /// Writes the next version to the store.
+    void publish()
+    {
+        ++m_version;
+        republish();
+    }
+    /// Writes the latest version again.
+    void republish() { write("item", std::to_string(m_version)); }
+    /// Writes an item that is not the version.
+    void write(const std::string& key, const std::string& value) { m_store.items[key] = { key, value, ++m_store.revision, false }; }
+    /// Content of the store.
+    struct StoreCopy {
+        std::uint64_t revision = 1;
+        std::map<std::string, StoreItem> items;
+    };
+    const StoreCopy& storeContent() const { return m_store; }
+    /// Replaces the store's content by \a copy, which begins an era, and cuts the watches.
+    void returnFrom(const StoreCopy& copy)
+    {
+        m_store = copy;
+        m_era = StoreEra(m_era.value() + 1);
+        StoreResult cut;
+        cut.cause = "the connection was reset";
+        for (const StoreWatch& watch : std::exchange(m_storeWatches, {}))
+            schedule(step, [this, watch, cut] { finish(watch.host, watch.number, cut, std::nullopt); });
+    }
+    /// \returns the hosts that run and don't know version \a version or a later one
+    std::vector<std::size_t> uninformedHosts(std::uint64_t version) const
     {
         std::vector<std::size_t> uninformed;
         for (std::size_t i = 0; i < m_hosts.size(); ++i) {
-            if (!silent.contains(i) && m_hosts[i]->known < revision)
+            if (!silent.contains(i) && m_hosts[i]->known < version)
                 uninformed.push_back(i);
         }
         return uninformed;
     }
-    std::uint64_t storeRevision() const { return m_storeRevision; }
-    /// \returns the number of hosts that know the latest change
+    std::uint64_t publishedVersion() const { return m_version; }
+    /// \returns the number of hosts that know the latest version
     std::size_t informedHosts() const
     {
-        return static_cast<std::size_t>(std::count_if(m_hosts.begin(), m_hosts.end(), [this](const auto& host) { return host->known == m_storeRevision; }));
+        return static_cast<std::size_t>(std::count_if(m_hosts.begin(), m_hosts.end(), [this](const auto& host) { return host->known == m_version; }));
     }
     std::size_t size() const { return m_hosts.size(); }
     Instant now() const { return m_now; }
@@ -90,7 +114,7 @@
 
     struct Host {
         UpdateRelay relay;
-        std::uint64_t known = 0; ///< Latest revision of the item.
+        std::uint64_t known = 0; ///< Greatest version.
     };
     struct StoreWatch {
         std::size_t host;
@@ -127,10 +151,18 @@
     StoreResult storeResult(const StoreRead& read) const
     {
         StoreResult result;
-        result.kind = read.kind == StoreRead::Kind::Page ? StoreResult::Kind::Items : StoreResult::Kind::Changes;
-        result.revision = m_storeRevision;
-        if (read.kind == StoreRead::Kind::Page || read.afterRevision < m_storeRevision)
-            result.items.push_back({ "item", "v", m_storeRevision, false });
+        result.era = m_era;
+        result.revision = m_store.revision;
+        bool page = read.kind == StoreRead::Kind::Page;
+        if (!page && read.afterRevision > m_store.revision) {
+            result.kind = StoreResult::Kind::HistoryLost;
+            return result;
+        }
+        result.kind = page ? StoreResult::Kind::Items : StoreResult::Kind::Changes;
+        for (const auto& [key, item] : m_store.items) {
+            if (page || item.revision > read.afterRevision)
+                result.items.push_back(item);
+        }
         return result;
     }
     void finish(std::size_t host, ReadNumber number, StoreResult result, std::optional<ReplyAge> age)
@@ -143,8 +175,10 @@
     }
     void perform(std::size_t host, UpdateActions actions)
     {
-        for (const StoreItem& item : actions.items)
-            m_hosts[host]->known = std::max(m_hosts[host]->known, item.revision);
+        for (const StoreItem& item : actions.items) {
+            if (item.key == "item" && !item.removed)
+                m_hosts[host]->known = std::max<std::uint64_t>(m_hosts[host]->known, std::stoull(item.value));
+        }
         for (const UpdateActions::Reply& reply : actions.replies) {
             auto [reader, number] = m_readers.at(reply.reader);
             refusals += reply.result.kind == StoreResult::Kind::Failed;
@@ -192,7 +226,7 @@
     void replyToStoreWatches()
     {
         std::erase_if(m_storeWatches, [this](const StoreWatch& watch) {
-            if (watch.read.afterRevision >= m_storeRevision && m_now < watch.expiresAt)
+            if (watch.read.afterRevision == m_store.revision && m_now < watch.expiresAt)
                 return false;
             schedule(step, [this, watch, result = storeResult(watch.read)] { finish(watch.host, watch.number, result, std::nullopt); });
             return true;
@@ -202,7 +236,9 @@
     Duration m_discoveryTime;
     Instant m_now {};
     bool m_membersKnown = false;
-    std::uint64_t m_storeRevision = 1;
+    StoreCopy m_store { 1, { { "item", { "item", "1", 1, false } } } };
+    StoreEra m_era { 1 };
+    std::uint64_t m_version = 1;
     std::vector<MemberRecord> m_records;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::vector<StoreWatch> m_storeWatches;
--- a/test/UpdateTest.cpp
+++ b/test/UpdateTest.cpp
@@ -242,7 +242,7 @@
     REQUIRE(update.changes.size() == 2);
     CHECK(update.changes[0].key == "b");
     CHECK(update.changes[1].key == "c");
-    CHECK(follower.revision() == 14);
+    CHECK(follower.position().revision == 14);
 }
 
 TEST_CASE("A listing older than the known revision fails and changes nothing")
@@ -259,7 +259,7 @@
     StoreUpdate update = follower.handleResult(items({ item("a", 2) }, 15), at(2));
     CHECK(update.changes.empty());
     CHECK_FALSE(update.allKeys);
-    CHECK(follower.revision() == 20);
+    CHECK(follower.position().revision == 20);
     auto due = follower.nextReadAt();
     REQUIRE(due);
     auto relisted = follower.beginRead(*due);
@@ -287,7 +287,7 @@
     StoreUpdate listing;
     listing.changes = { item("a", 3), item("b", 4) };
     listing.allKeys = std::set<std::string> { "a", "b" };
-    mirror.apply(listing, 10, at(0));
+    mirror.apply(listing, { {}, 10 }, at(0));
     CHECK(mirror.answer(page).items.size() == 2);
     StoreRead watch;
     watch.kind = StoreRead::Kind::Watch;
@@ -295,7 +295,7 @@
     CHECK_FALSE(mirror.hasUpdates(watch));
     StoreUpdate removal;
     removal.changes = { { "a", "", 11, true } };
-    mirror.apply(removal, 11, at(1));
+    mirror.apply(removal, { {}, 11 }, at(1));
     REQUIRE(mirror.hasUpdates(watch));
     StoreResult result = mirror.answer(watch);
     REQUIRE(result.items.size() == 1);
@@ -314,15 +314,15 @@
     StoreUpdate listing;
     listing.changes = { item("a", 3), item("b", 4) };
     listing.allKeys = std::set<std::string> { "a", "b" };
-    CHECK(mirror.apply(listing, 10, at(0)).size() == 2);
-    CHECK(mirror.apply(listing, 10, at(1)).empty());
+    CHECK(mirror.apply(listing, { {}, 10 }, at(0)).size() == 2);
+    CHECK(mirror.apply(listing, { {}, 10 }, at(1)).empty());
     StoreUpdate outdated;
     outdated.changes = { item("a", 2, "older") };
-    CHECK(mirror.apply(outdated, 11, at(2)).empty());
+    CHECK(mirror.apply(outdated, { {}, 11 }, at(2)).empty());
     StoreUpdate relisted;
     relisted.changes = { item("b", 4), item("c", 12) };
     relisted.allKeys = std::set<std::string> { "b", "c" };
-    std::vector<StoreItem> changed = mirror.apply(relisted, 12, at(3));
+    std::vector<StoreItem> changed = mirror.apply(relisted, { {}, 12 }, at(3));
     REQUIRE(changed.size() == 2);
     CHECK(changed[0].key == "c");
     CHECK(changed[1].key == "a");
@@ -335,10 +335,10 @@
     StoreUpdate listing;
     listing.changes = { item("a", 3), item("b", 4) };
     listing.allKeys = std::set<std::string> { "a", "b" };
-    mirror.apply(listing, 10, at(0));
+    mirror.apply(listing, { {}, 10 }, at(0));
     StoreUpdate update;
     update.changes = { item("a", 11, "first"), { "b", "", 12, true }, item("a", 13, "second"), item("b", 14, "back") };
-    std::vector<StoreItem> changed = mirror.apply(update, 14, at(1));
+    std::vector<StoreItem> changed = mirror.apply(update, { {}, 14 }, at(1));
     REQUIRE(changed.size() == 2);
     CHECK(changed[0].value == "second");
     CHECK(changed[1].value == "back");
@@ -351,11 +351,11 @@
     StoreUpdate listing;
     listing.changes = { item("a", 3), item("b", 4) };
     listing.allKeys = std::set<std::string> { "a", "b" };
-    mirror.apply(listing, 10, at(0));
+    mirror.apply(listing, { {}, 10 }, at(0));
     StoreUpdate relisted;
     relisted.changes = { item("b", 4) };
     relisted.allKeys = std::set<std::string> { "b" };
-    mirror.apply(relisted, 20, at(1));
+    mirror.apply(relisted, { {}, 20 }, at(1));
     StoreRead watch;
     watch.kind = StoreRead::Kind::Watch;
     watch.afterRevision = 10;
