Log what a failed call asked and how many of its attempts lost their connection

Cause of the gap: a `call` line names the last target only. It can't be told from the logs whether one request was sent to all the targets that ended, whether its own retries or its arrivals at other hosts did it, or whether they ended for another reason. Change: `lostSends` (attempts whose connection failed, not those that timed out or got an odd reply) and `request`, a fingerprint of method, host, path, body and credentials, by which the calls of all hosts can be grouped. Nothing is decided by either.

--- a/Pimentopoint/src/Core/Ids.h
+++ b/Pimentopoint/src/Core/Ids.h
@@ -23,6 +23,8 @@
 PP_STRONG_TYPE(AttemptNumber, std::uint64_t);
 /// Number of a caller's request, unique within a process.
 PP_STRONG_TYPE(CallId, std::uint64_t);
+/// Fingerprint of a request's content; requests with equal content have equal fingerprints.
+PP_STRONG_TYPE(RequestFingerprint, std::uint64_t);
 /// Identifies a read of updates within one process.
 PP_STRONG_TYPE(ReadNumber, std::uint64_t);
 /// Counts the times at which the platform's store returned from an older copy; revisions of different eras can't be compared.
--- a/Pimentopoint/src/Net/TargetConnection.cpp
+++ b/Pimentopoint/src/Net/TargetConnection.cpp
@@ -167,7 +167,7 @@
     if (!m_attempt || m_attempt->id != id)
         return;
     if (failed)
-        fail(TargetReply::ReplyOutcome::Lost, "the connection failed while the request was being sent");
+        fail(TargetReply::ReplyOutcome::Lost, "the connection failed while the request was being sent", true);
     else
         m_requestWritten = true;
 }
@@ -202,7 +202,7 @@
         return;
     }
     if (error) {
-        fail(TargetReply::ReplyOutcome::Lost, "the connection failed before the reply was complete");
+        fail(TargetReply::ReplyOutcome::Lost, "the connection failed before the reply was complete", true);
         return;
     }
     parse(bytes);
@@ -239,7 +239,7 @@
     if (m_parser->putEnd() == ReplyParser::Progress::Complete)
         handleReply(false);
     else
-        fail(TargetReply::ReplyOutcome::Lost, m_parser->cause());
+        fail(TargetReply::ReplyOutcome::Lost, m_parser->cause(), true);
 }
 
 Instant TargetConnection::keepAliveExpiry() const
@@ -307,12 +307,13 @@
     finish(std::move(reply), reusable);
 }
 
-void TargetConnection::fail(TargetReply::ReplyOutcome outcome, const char* cause)
+void TargetConnection::fail(TargetReply::ReplyOutcome outcome, const char* cause, bool connectionFailed)
 {
     if (!m_attempt)
         return;
     TargetReply reply;
     reply.outcome = outcome == TargetReply::ReplyOutcome::Lost && !m_anyBytesSent ? TargetReply::ReplyOutcome::NotSent : outcome;
+    reply.connectionFailed = connectionFailed && reply.outcome == TargetReply::ReplyOutcome::Lost;
     reply.cause = cause;
     finish(std::move(reply), false);
 }
--- a/Pimentopoint/src/Net/TargetConnection.h
+++ b/Pimentopoint/src/Net/TargetConnection.h
@@ -56,7 +56,7 @@
     void handleReply(bool reusable);
     /// Parses the headers that an aggregator adds to its reply; \returns whether the number of missing shards is among them
     bool parseAggregate(TargetReply& reply) const;
-    void fail(TargetReply::ReplyOutcome outcome, const char* cause);
+    void fail(TargetReply::ReplyOutcome outcome, const char* cause, bool connectionFailed = false);
     /// Discards the reply in progress and ends the exchange once the current handler has returned.
     void releaseReply();
     /// Runs \a handler; an exception that leaves it ends this connection only.
--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -195,7 +195,7 @@
         if (!subRequest.succeeded && !subRequest.triedTargets.empty())
             lastTarget = subRequest.triedTargets.back().value();
     }
-    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), answer.status, answer.reason, now - run.request().arrivedAt, answer.missingShards, run.extraAttempts(), lastTarget, run.stragglerThreshold(), found->second.aggregator });
+    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), answer.status, answer.reason, now - run.request().arrivedAt, answer.missingShards, run.extraAttempts(), lastTarget, run.stragglerThreshold(), found->second.aggregator, run.lostAttempts() });
     actions.answers.push_back({ id, std::move(answer) });
     m_calls.erase(found);
 }
@@ -305,7 +305,7 @@
         for (AttemptNumber attempt : subRequest.outstanding)
             environment.release(attempt, false, now);
     }
-    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), 0, disconnectedReason, now - run.request().arrivedAt, 0, run.extraAttempts(), "", run.stragglerThreshold(), found->second.aggregator });
+    m_recorder({ run.request(), run.route().name.value(), run.routing().version(), 0, disconnectedReason, now - run.request().arrivedAt, 0, run.extraAttempts(), "", run.stragglerThreshold(), found->second.aggregator, run.lostAttempts() });
     m_metrics.add("pimentopoint_callers_left_total", "");
     m_calls.erase(found);
 }
--- a/Pimentopoint/src/Serve/CallEngine.h
+++ b/Pimentopoint/src/Serve/CallEngine.h
@@ -51,6 +51,7 @@
     std::string lastTarget; ///< Last target tried for the last sub-request that did not succeed; empty if there is none.
     Duration stragglerThreshold; ///< Time after which an attempt of the call counts as a straggler.
     MemberName aggregator {}; ///< Host to which sub-requests were delegated; empty if there is none.
+    unsigned lostAttempts = 0; ///< Attempts whose connection failed before the reply was complete.
 };
 
 /// Limits of a CallEngine.
--- a/Pimentopoint/src/Serve/CallRun.cpp
+++ b/Pimentopoint/src/Serve/CallRun.cpp
@@ -142,6 +142,7 @@
 {
     SubRequest& subRequest = m_subRequests[index];
     std::erase(subRequest.outstanding, attempt);
+    m_lostAttempts += reply.connectionFailed;
     if (m_finished || subRequest.succeeded || subRequest.failed)
         return;
     if (reply.outcome == TargetReply::ReplyOutcome::NotSent) {
--- a/Pimentopoint/src/Serve/CallRun.h
+++ b/Pimentopoint/src/Serve/CallRun.h
@@ -100,6 +100,8 @@
     /// \returns the sub-requests that an aggregator is running, if any
     const std::optional<CallEnvironment::DelegatedGroup>& delegated() const { return m_delegated; }
     unsigned extraAttempts() const { return m_extraAttempts; }
+    /// \returns the number of attempts whose connection failed before the reply was complete
+    unsigned lostAttempts() const { return m_lostAttempts; }
 
 private:
     void failDelegated();
@@ -135,6 +137,7 @@
     std::size_t m_succeededCount = 0;
     std::size_t m_failedCount = 0;
     unsigned m_extraAttempts = 0;
+    unsigned m_lostAttempts = 0;
     std::optional<CallEnvironment::DelegatedGroup> m_delegated;
     TargetReply m_delegateReply; ///< Reply of the aggregator.
     Duration m_retryDelay; ///< Time after which the caller may try again if the call is refused.
--- a/Pimentopoint/src/Serve/TargetReply.h
+++ b/Pimentopoint/src/Serve/TargetReply.h
@@ -22,6 +22,7 @@
     };
 
     ReplyOutcome outcome = ReplyOutcome::Lost;
+    bool connectionFailed = false; ///< In a lost attempt: whether the connection failed, as it does when the target's process ends.
     unsigned status = 0;
     bool notRun = false; ///< Whether the target states that it did not run the request.
     bool addressReused = false; ///< Whether another target now has the address.
--- a/daemons/EdgeHost.cpp
+++ b/daemons/EdgeHost.cpp
@@ -425,7 +425,7 @@
     Log::event(Severity::Info, "call",
         { { "id", record.request.id }, { "route", record.route }, { "version", record.version }, { "ageMicroseconds", inMicroseconds(m_updateFeed.age()) }, { "status", std::uint64_t(record.status) }, { "cause", record.reason },
             { "tookMicroseconds", static_cast<std::uint64_t>(record.elapsed.count()) }, { "missingParts", std::uint64_t(record.missingShards) },
-            { "extraSends", std::uint64_t(record.extraAttempts) }, { "lastTarget", record.lastTarget }, { "aggregator", record.aggregator }, { "forHost", std::uint64_t(record.request.delegation.has_value()) }, { "lateAfterMicroseconds", static_cast<std::uint64_t>(record.stragglerThreshold.count()) } });
+            { "extraSends", std::uint64_t(record.extraAttempts) }, { "lostSends", std::uint64_t(record.lostAttempts) }, { "request", textOf(fingerprintOf(record.request)) }, { "lastTarget", record.lastTarget }, { "aggregator", record.aggregator }, { "forHost", std::uint64_t(record.request.delegation.has_value()) }, { "lateAfterMicroseconds", static_cast<std::uint64_t>(record.stragglerThreshold.count()) } });
 }
 
 } // namespace pimentopoint
