--- a/standins/StandinStore.cpp
+++ b/standins/StandinStore.cpp
@@ -73,11 +73,25 @@
     tick();
 }
 
+StandinStore::Copy StandinStore::copy() const
+{
+    return { m_items, m_revision };
+}
+
+void StandinStore::returnFrom(const Copy& copy)
+{
+    m_items = copy.items;
+    m_revision = copy.revision;
+    ++m_era;
+    tick();
+}
+
 void StandinStore::sendAnswer(CallId call, unsigned status, std::string body)
 {
     CallerAnswer answer;
     answer.status = status;
     answer.body = std::move(body);
+    answer.headers.emplace_back("Store-Era", std::to_string(m_era));
     m_server.answer(call, answer);
 }
 
@@ -127,7 +141,7 @@
 bool StandinStore::answerWatch(CallId call, const PendingWatch& watch, bool expired)
 {
     constexpr unsigned gone = 410;
-    if (watch.after < m_compactedRevision) {
+    if (watch.after < m_compactedRevision || watch.after > m_revision) {
         sendAnswer(call, gone, "");
         return true;
     }
--- a/standins/StandinStore.h
+++ b/standins/StandinStore.h
@@ -29,6 +29,11 @@
     void remove(const std::string& key);
     /// Discards the history up to the current revision: watches from an earlier revision get status 410.
     void compact();
+    /// Content of the store.
+    struct Copy;
+    Copy copy() const;
+    /// Replaces the content by \a copy, as after a restore: revisions go back, and an era begins.
+    void returnFrom(const Copy& copy);
     void setFault(Fault fault) { m_fault = fault; }
     void setPageItems(std::size_t items) { m_pageItems = items; }
     /// Replies to pending watches that have events or are past their deadline. Must be called periodically.
@@ -54,6 +59,7 @@
     void sendAnswer(CallId call, unsigned status, std::string body);
 
     const Clock& m_clock;
+    std::uint64_t m_era = 1;
     HeaderNames m_headerNames;
     std::map<std::string, Item> m_items;
     std::uint64_t m_revision = 1;
@@ -65,4 +71,9 @@
     CallerServer m_server;
 };
 
+struct StandinStore::Copy {
+    std::map<std::string, Item> items;
+    std::uint64_t revision;
+};
+
 } // namespace pimentopoint
