Look up the queue of a service only for sub-requests that wait

Callers: none noticed. Cause: since retries of several shards can begin with one reply, all sub-requests are examined at each reply, and each looked up its service's queue: for a fan-out over 36 shards 1,296 look-ups, found by reading the change. Change: only a sub-request that waits does.

--- a/Pimentopoint/src/Serve/CallEngine.cpp
+++ b/Pimentopoint/src/Serve/CallEngine.cpp
@@ -179,9 +179,10 @@
 void CallEngine::enqueueWaiting(CallId id, const CallRun& run)
 {
     for (std::size_t i = 0; i < run.subRequests().size(); ++i) {
-        const SubRequest& subRequest = run.subRequests()[i];
-        auto& queue = m_waiting[subRequest.service];
-        if (subRequest.waiting && std::find(queue.begin(), queue.end(), std::pair(id, i)) == queue.end())
+        if (!run.subRequests()[i].waiting)
+            continue;
+        auto& queue = m_waiting[run.subRequests()[i].service];
+        if (std::find(queue.begin(), queue.end(), std::pair(id, i)) == queue.end())
             queue.emplace_back(id, i);
     }
 }
